--- /dev/null
+++ b/src/demand.c
@@ -0,0 +1,211 @@
+/* demand - how much work each service is asked for.  See demand.h. */
+#include "demand.h"
+
+#include <math.h>
+
+#include <glib.h>
+
+#define RATE_FADE_US 2e6     /* bursts last for seconds */
+#define WORK_WEIGHT 0.02     /* of one answer in the moving average */
+#define WORK_START_S 0.2     /* before the first answers */
+#define RETRY_PART 0.7       /* of the budget; the rest covers lost counts */
+#define DEMAND_MIN_SLOTS 0.5 /* less than that is no traffic */
+
+typedef struct Heard {
+    uint64_t vm;
+    uint64_t service;
+    int region;
+    double slots;
+    int64_t at_us;
+} Heard;
+
+struct Demand {
+    DemandOpts o;
+    GHashTable *services;
+    GArray *heard;
+    int64_t step_us;
+};
+
+Demand *
+demand_new(const DemandOpts *o)
+{
+    Demand *d = g_new0(Demand, 1);
+
+    d->o = *o;
+    d->services =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    d->heard = g_array_new(FALSE, TRUE, sizeof(Heard));
+    return d;
+}
+
+void
+demand_free(Demand *d)
+{
+    g_hash_table_destroy(d->services);
+    g_array_free(d->heard, TRUE);
+    g_free(d);
+}
+
+DemandService *
+demand_service(Demand *d, uint64_t id)
+{
+    DemandService *s = g_hash_table_lookup(d->services, &id);
+
+    if (s == NULL) {
+        s = g_new0(DemandService, 1);
+        s->id = id;
+        s->work_s = WORK_START_S;
+        g_hash_table_insert(d->services, &s->id, s);
+    }
+    return s;
+}
+
+static double
+retry_burst(const Demand *d, int n_vms)
+{
+    return fmax(1, d->o.retry_slack * RETRY_PART / MAX(n_vms, 1));
+}
+
+void
+demand_arrived(Demand *d, DemandService *s, int n_vms)
+{
+    s->arrived++;
+    bucket_add(&s->retries, d->o.retry_ratio * RETRY_PART,
+               retry_burst(d, n_vms));
+}
+
+void
+demand_served(DemandService *s, int64_t work_us)
+{
+    s->work_s += WORK_WEIGHT * ((double)work_us / 1e6 - s->work_s);
+}
+
+bool
+demand_retry(Demand *d, DemandService *s, int n_vms, int64_t now_us)
+{
+    /* The slack returns once per window. */
+    double burst = retry_burst(d, n_vms);
+    double per_s = burst / ((double)d->o.retry_window_us / 1e6) / 2;
+
+    return bucket_take(&s->retries, per_s, burst, now_us);
+}
+
+double
+demand_own(const DemandService *s)
+{
+    return s->rate * s->work_s;
+}
+
+void
+demand_heard(Demand *d, uint64_t vm, int region, uint64_t service,
+             double slots, int64_t now_us)
+{
+    Heard h = {vm, service, region, slots, now_us};
+
+    for (guint i = 0; i < d->heard->len; i++) {
+        Heard *x = &g_array_index(d->heard, Heard, i);
+        if (x->vm == vm && x->service == service) {
+            *x = h;
+            return;
+        }
+    }
+    g_array_append_val(d->heard, h);
+}
+
+static void
+forget_old(Demand *d, int64_t now_us)
+{
+    for (guint i = d->heard->len; i-- > 0;) {
+        if (now_us - g_array_index(d->heard, Heard, i).at_us >
+            DEMAND_FRESH_US) {
+            g_array_remove_index_fast(d->heard, i);
+        }
+    }
+}
+
+static void
+count_capacity(SplitIn *in, const UpsSet *set, uint64_t service)
+{
+    const GPtrArray *list = ups_of_service(set, service);
+
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const Ups *u = g_ptr_array_index(list, i);
+        if (ups_usable(set, u)) {
+            in->capacity[u->region] += u->slots;
+        }
+    }
+}
+
+/* Before there is traffic, half of the slots stand for the demand. */
+static void
+assume_demand(SplitIn *in, const int *vms_by_region)
+{
+    double slots = 0;
+    int vms = 0;
+
+    for (int r = 0; r < in->n; r++) {
+        slots += in->capacity[r];
+        vms += vms_by_region[r];
+    }
+    for (int r = 0; r < in->n && vms > 0; r++) {
+        in->demand[r] = slots / 2 * vms_by_region[r] / vms;
+    }
+}
+
+static void
+step_service(Demand *d, DemandService *s, const UpsSet *set,
+             const int *vms_by_region, int64_t now_us)
+{
+    SplitIn in = {.n = d->o.places->n_regions,
+                  .max_shift_per_s = d->o.max_shift_per_s};
+    double sum = demand_own(s);
+
+    in.demand[d->o.region] = sum;
+    for (guint i = 0; i < d->heard->len; i++) {
+        const Heard *h = &g_array_index(d->heard, Heard, i);
+        if (h->service == s->id) {
+            in.demand[h->region] += h->slots;
+            sum += h->slots;
+        }
+    }
+    count_capacity(&in, set, s->id);
+    if (sum < DEMAND_MIN_SLOTS) {
+        assume_demand(&in, vms_by_region);
+    }
+    split_step(&s->split, &in, now_us);
+}
+
+void
+demand_step(Demand *d, const UpsSet *set, const int *vms_by_region,
+            int64_t now_us)
+{
+    double dt = (double)(now_us - d->step_us);
+    GHashTableIter it;
+    gpointer p;
+
+    forget_old(d, now_us);
+    g_hash_table_iter_init(&it, d->services);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        DemandService *s = p;
+        if (d->step_us > 0 && dt > 0) {
+            double now_rate = s->arrived / (dt / 1e6);
+            double w = 1 - exp(-dt / RATE_FADE_US);
+            s->rate += w * (now_rate - s->rate);
+        }
+        s->arrived = 0;
+        step_service(d, s, set, vms_by_region, now_us);
+    }
+    d->step_us = now_us;
+}
+
+void
+demand_each(Demand *d, void (*f)(void *ctx, const DemandService *s), void *ctx)
+{
+    GHashTableIter it;
+    gpointer p;
+
+    g_hash_table_iter_init(&it, d->services);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        f(ctx, p);
+    }
+}
--- /dev/null
+++ b/src/dlog.c
@@ -0,0 +1,117 @@
+/* dlog - structured log lines that never block.  See dlog.h. */
+#include "dlog.h"
+
+#include <poll.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <sys/time.h>
+#include <unistd.h>
+
+#include "bucket.h"
+
+#define LINE_BYTES 1024
+#define CHUNK_BYTES 4096 /* a pipe that polls writable takes that much */
+#define URGENT_PART 0.7  /* of the rate, for lines about failures */
+
+struct Dlog {
+    DlogOpts o;
+    GString *buf;
+    Bucket urgent;
+    Bucket usual;
+    int64_t dropped;
+    int64_t told; /* dropped lines that a line has told of */
+};
+
+Dlog *
+dlog_new(const DlogOpts *o)
+{
+    Dlog *d = g_new0(Dlog, 1);
+
+    d->o = *o;
+    d->buf = g_string_sized_new(CHUNK_BYTES);
+    return d;
+}
+
+void
+dlog_free(Dlog *d)
+{
+    dlog_flush(d);
+    g_string_free(d->buf, TRUE);
+    g_free(d);
+}
+
+static void
+put(Dlog *d, DlogLevel level, const char *part, const char *fmt, va_list ap)
+{
+    char line[LINE_BYTES];
+    struct timeval tv;
+
+    gettimeofday(&tv, NULL);
+    int n = snprintf(line, sizeof(line), "time=%lld.%03d level=%s part=%s ",
+                     (long long)tv.tv_sec, (int)(tv.tv_usec / 1000),
+                     level == DLOG_WARN ? "warn" : "info", part);
+    n += vsnprintf(line + n, sizeof(line) - (size_t)n, fmt, ap);
+    n = MIN(n, LINE_BYTES - 2);
+    line[n++] = '\n';
+    if (d->buf->len + (size_t)n > d->o.buffer_bytes) {
+        d->dropped++;
+        return;
+    }
+    g_string_append_len(d->buf, line, n);
+}
+
+void
+dlog_event(Dlog *d, DlogLevel level, const char *part, const char *fmt, ...)
+{
+    va_list ap;
+
+    va_start(ap, fmt);
+    put(d, level, part, fmt, ap);
+    va_end(ap);
+}
+
+bool
+dlog_may(Dlog *d, bool urgent, int64_t now_us)
+{
+    double rate = d->o.request_lines_per_s;
+    double part = urgent ? URGENT_PART : 1 - URGENT_PART;
+    Bucket *b = urgent ? &d->urgent : &d->usual;
+
+    if (bucket_take(b, rate * part, MAX(rate * part, 1), now_us)) {
+        return true;
+    }
+    d->dropped++;
+    return false;
+}
+
+static bool
+takes_bytes(int fd)
+{
+    struct pollfd p = {.fd = fd, .events = POLLOUT};
+
+    return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT) != 0;
+}
+
+void
+dlog_flush(Dlog *d)
+{
+    if (d->dropped > d->told && d->buf->len < d->o.buffer_bytes / 2) {
+        dlog_event(d, DLOG_INFO, "log", "event=dropped lines=%lld",
+                   (long long)(d->dropped - d->told));
+        d->told = d->dropped;
+    }
+    while (d->buf->len > 0 && takes_bytes(d->o.fd)) {
+        ssize_t n =
+            write(d->o.fd, d->buf->str, MIN(d->buf->len, (size_t)CHUNK_BYTES));
+        if (n <= 0) {
+            return;
+        }
+        g_string_erase(d->buf, 0, n);
+    }
+}
+
+int64_t
+dlog_dropped(const Dlog *d)
+{
+    return d->dropped;
+}
--- /dev/null
+++ b/src/edge.c
@@ -0,0 +1,672 @@
+/* edge - one entry VM on the platform.  See edge.h. */
+#include "edge.h"
+
+#include <inttypes.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <glib-object.h>
+
+#include "caller.h"
+#include "demand.h"
+#include "dlog.h"
+#include "hash.h"
+#include "mirror.h"
+#include "peer.h"
+#include "pf.h"
+#include "px.h"
+#include "uconn.h"
+#include "vml.h"
+
+#define LOG_LINES_PER_S 60.0 /* about 20 KB/s and 1 % of a small machine */
+#define LOG_BUFFER_BYTES (256 * 1024)
+#define TICK_US 250000  /* heartbeats, shares, expiry, log */
+#define LOOK_US 1000000 /* at the settings file */
+#define GONE_GRACE_US                                                         \
+    2000000                   /* entries come back within that after a stop   \
+                                 of the store */
+#define GONE_MARGIN_US 400000 /* of the drain time, for the watch */
+#define SHIFT_WINDOW_S 2.0    /* what max_shift refers to */
+#define SHIFT_PART 0.6        /* of it; the rest is for chance */
+#define CALLERS_PART 0.6      /* of the descriptors */
+#define HELD_PART 0.25        /* of the memory, for requests and answers */
+#define ADDRESSES_MAX 64
+#define ENDPOINT_CALLERS 64
+#define ENDPOINT_HELD_BYTES (1024 * 1024)
+/* A planned stop: what is told to callers by then, and what is left of the
+ * time for the last answers. */
+#define STOP_CLOSE_US 1000000
+#define STOP_RESERVE_US 900000
+#define STOP_EARLIEST_US 3000000
+
+struct Edge {
+    Evl *loop;
+    char *file;
+    struct timespec file_time;
+    Eset set;
+    Dlog *log;
+    GRand *rnd;
+    UpsSet *upstreams;
+    UconnPool *pool;
+    Demand *demand;
+    Vml *vms;
+    GArray *shares; /* PickVm of vms */
+    Peer *peer;
+    Mirror *mirror;
+    Px *px;
+    CallerSet *callers;
+    CallerSet *ready;
+    CallerSet *directory;
+    CallerSet *metrics;
+    EvlTimer tick;
+    uint64_t boot_ms;
+    bool view_complete;
+    bool leaving;
+    int64_t leave_us;
+    int64_t look_us;
+    int64_t suspended_us; /* boot time less steady time */
+    int64_t unreadable;
+};
+
+static void
+write_record(Edge *g)
+{
+    Vm v = {0};
+    char text[VML_RECORD_BYTES];
+    char *key = pf_vm_key(g->set.vm_id);
+
+    g_strlcpy(v.entry, g->set.requests_text, sizeof(v.entry));
+    v.peer = g->set.peers;
+    v.zone = g->set.zone;
+    v.leaving = g->leaving;
+    v.boot_ms = g->boot_ms;
+    vml_write(&v, &g->set.places, text, sizeof(text));
+    mirror_record(g->mirror, key, text);
+    g_free(key);
+}
+
+static void
+share_vms(Edge *g)
+{
+    g_array_set_size(g->shares, 0);
+    for (int i = 0; i < vml_count(g->vms); i++) {
+        PickVm v = {vml_at(g->vms, i)->key, vml_at(g->vms, i)->region};
+        g_array_append_val(g->shares, v);
+    }
+    px_set_vms(g->px, (const PickVm *)(void *)g->shares->data,
+               (int)g->shares->len, vml_index(g->vms, g->set.vm_id));
+}
+
+static void
+take_config(Edge *g, Str text)
+{
+    Err e = {0};
+    const RtTable *old = px_routes(g->px);
+    RtTable *t = pf_config(text, &e);
+
+    if (t == NULL) {
+        dlog_event(g->log, DLOG_WARN, "config",
+                   "event=unreadable in_force=%" PRIu64 " error=\"%s\"",
+                   old == NULL ? 0 : rt_version(old), e.text);
+        return;
+    }
+    if (old == NULL || rt_version(t) > rt_version(old)) {
+        dlog_event(g->log, DLOG_INFO, "config",
+                   "event=in_force version=%" PRIu64 " before=%" PRIu64,
+                   rt_version(t), old == NULL ? 0 : rt_version(old));
+        for (int i = 0; i < rt_n_services(t); i++) {
+            demand_service(g->demand, rt_service(t, i)->id);
+        }
+        callers_limits(g->callers, rt_limits(t));
+        px_set_routes(g->px, t);
+    }
+    rt_unref(t);
+}
+
+static Ups *
+find_upstream(Edge *g, uint64_t service, Str id)
+{
+    const GPtrArray *list = ups_of_service(g->upstreams, service);
+
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        Ups *u = g_ptr_array_index(list, i);
+        if (str_eqz(id, u->id)) {
+            return u;
+        }
+    }
+    return NULL;
+}
+
+static void
+take_upstream(Edge *g, Str id, Str text, uint64_t rev, int64_t now_us)
+{
+    static const char *const names[] = {"same",    "added", "restarted",
+                                        "leaving", "back",  "unusable"};
+    UpsReport r;
+    gpointer keep = NULL;
+    Err e = {0};
+
+    if (!pf_upstream(id, text, &r, &keep, &e)) {
+        g->unreadable++;
+        dlog_event(g->log, DLOG_WARN, "upstream",
+                   "id=%.*s event=unreadable rev=%" PRIu64 " error=\"%s\"",
+                   (int)id.n, id.p, rev, e.text);
+        ups_missing(g->upstreams, id, now_us);
+        g_clear_object(&keep);
+        return;
+    }
+    UpsChange ch = ups_report(g->upstreams, &r, now_us);
+    if (ch == UPS_RESTARTED) {
+        Ups *u = find_upstream(g, hash_str(r.service, 0), id);
+        if (u != NULL) {
+            uconns_drop(g->pool, u);
+        }
+    }
+    if (ch != UPS_SAME) {
+        dlog_event(g->log, DLOG_INFO, "upstream",
+                   "id=%.*s event=%s service=%.*s zone=%.*s rev=%" PRIu64
+                   " cold_ms=%" PRId64,
+                   (int)id.n, id.p, names[ch], (int)r.service.n, r.service.p,
+                   (int)r.zone.n, r.zone.p, rev, r.warmup_left_us / 1000);
+    }
+    g_clear_object(&keep);
+}
+
+static void
+take_vm(Edge *g, Str id, Str text)
+{
+    Vm v;
+    Err e = {0};
+
+    if (!vml_read(&v, id, text, &g->set.places, &e)) {
+        dlog_event(g->log, DLOG_WARN, "vm",
+                   "id=%.*s event=unreadable "
+                   "error=\"%s\"",
+                   (int)id.n, id.p, e.text);
+        return;
+    }
+    dlog_event(g->log, DLOG_INFO, "vm",
+               "id=%s event=listed leaving=%d boot=%" PRIu64, v.id,
+               v.leaving ? 1 : 0, v.boot_ms);
+    vml_put(g->vms, &v);
+    share_vms(g);
+}
+
+static void
+take_drain(Edge *g, Str name, bool drained, uint64_t rev, int64_t now_us)
+{
+    int zone = places_zone(&g->set.places, name);
+
+    if (zone < 0) {
+        return;
+    }
+    dlog_event(g->log, DLOG_INFO, "zone", "id=%s event=%s rev=%" PRIu64,
+               g->set.places.zones[zone], drained ? "drained" : "returned",
+               rev);
+    ups_drain_zone(g->upstreams, zone, drained, now_us);
+}
+
+static void
+on_item(void *ctx, const char *key, GBytes *value, uint64_t rev,
+        int64_t now_us)
+{
+    Edge *g = ctx;
+    Str name;
+    Str text = {NULL, 0};
+    PfKind kind = pf_key(key, &name);
+
+    if (value != NULL) {
+        text.p = g_bytes_get_data(value, &text.n);
+    }
+    switch (kind) {
+    case PF_CONFIG:
+        if (value != NULL) {
+            take_config(g, text);
+        }
+        break;
+    case PF_UPSTREAM:
+        if (value != NULL) {
+            take_upstream(g, name, text, rev, now_us);
+            break;
+        }
+        dlog_event(g->log, DLOG_INFO, "upstream",
+                   "id=%.*s event=missing rev=%" PRIu64, (int)name.n, name.p,
+                   rev);
+        ups_missing(g->upstreams, name, now_us);
+        break;
+    case PF_DRAIN:
+        take_drain(g, name, value != NULL, rev, now_us);
+        break;
+    case PF_VM:
+        if (value != NULL) {
+            take_vm(g, name, text);
+            break;
+        }
+        dlog_event(g->log, DLOG_INFO, "vm", "id=%.*s event=gone rev=%" PRIu64,
+                   (int)name.n, name.p, rev);
+        vml_remove(g->vms, name);
+        share_vms(g);
+        break;
+    case PF_OTHER:
+        break;
+    }
+    ups_expire(g->upstreams, now_us);
+}
+
+static void
+on_view(void *ctx, int64_t now_us)
+{
+    Edge *g = ctx;
+    (void)now_us;
+
+    g->view_complete = true;
+    dlog_event(g->log, DLOG_INFO, "store", "event=view_complete vms=%d",
+               vml_count(g->vms));
+}
+
+static void
+on_trouble(void *ctx, int64_t now_us)
+{
+    ups_store_trouble(((Edge *)ctx)->upstreams, now_us);
+}
+
+static void
+on_beat(void *ctx, const PeerBeat *b, int64_t now_us)
+{
+    Edge *g = ctx;
+    Vm *v = vml_find(g->vms, str_of(b->vm));
+
+    if (v == NULL || b->boot_ms < v->boot_ms) {
+        return;
+    }
+    if (v->leaving != b->leaving) {
+        dlog_event(g->log, DLOG_INFO, "vm", "id=%s event=heartbeat leaving=%d",
+                   v->id, b->leaving ? 1 : 0);
+    }
+    v->heard_us = now_us;
+    v->leaving = b->leaving;
+    v->boot_ms = b->boot_ms;
+    for (int i = 0; i < b->n_needs; i++) {
+        demand_heard(g->demand, v->key, v->region, b->needs[i].service,
+                     b->needs[i].slots, now_us);
+    }
+}
+
+static void
+add_need(void *ctx, const DemandService *s)
+{
+    PeerBeat *b = ctx;
+
+    if (b->n_needs < PEER_SERVICES_MAX) {
+        b->needs[b->n_needs++] = (PeerNeed){s->id, demand_own(s)};
+    }
+}
+
+static void
+send_beats(Edge *g)
+{
+    PeerBeat b = {.boot_ms = g->boot_ms, .leaving = g->leaving};
+    char buf[PEER_BYTES_MAX];
+
+    g_strlcpy(b.vm, g->set.vm_id, sizeof(b.vm));
+    demand_each(g->demand, add_need, &b);
+    size_t n = peer_encode(&b, buf, sizeof(buf));
+    for (int i = 0; i < vml_count(g->vms); i++) {
+        const Vm *v = vml_at(g->vms, i);
+        if (strcmp(v->id, g->set.vm_id) != 0) {
+            peer_send(g->peer, &v->peer, buf, n);
+        }
+    }
+}
+
+/* A suspended machine wakes with an old view. */
+static void
+look_for_suspension(Edge *g, int64_t now_us)
+{
+    int64_t gap = evl_boottime() - now_us;
+
+    if (g->suspended_us != 0 && gap - g->suspended_us > TICK_US) {
+        dlog_event(g->log, DLOG_WARN, "vm", "event=resumed after_ms=%" PRId64,
+                   (gap - g->suspended_us) / 1000);
+    }
+    g->suspended_us = gap;
+}
+
+static void
+look_at_settings(Edge *g)
+{
+    struct stat st;
+    Eset fresh;
+    Err e = {0};
+
+    if (stat(g->file, &st) != 0 ||
+        (st.st_mtim.tv_sec == g->file_time.tv_sec &&
+         st.st_mtim.tv_nsec == g->file_time.tv_nsec)) {
+        return;
+    }
+    g->file_time = st.st_mtim;
+    if (!eset_read(&fresh, g->file, &e)) {
+        dlog_event(g->log, DLOG_WARN, "settings",
+                   "event=rejected error=\"%s\"", e.text);
+        return;
+    }
+    /* Addresses and places are those of the running process; a restart
+     * takes others. */
+    g->set.drain_us = fresh.drain_us;
+    g->set.stop_us = fresh.stop_us;
+    g->set.directory_ttl_us = fresh.directory_ttl_us;
+    dlog_event(g->log, DLOG_INFO, "settings", "event=read");
+}
+
+void
+edge_reload(Edge *g)
+{
+    g->file_time = (struct timespec){0};
+    look_at_settings(g);
+}
+
+static void
+step_stop(Edge *g, int64_t now_us)
+{
+    int64_t age = now_us - g->leave_us;
+
+    if (age > STOP_CLOSE_US) {
+        callers_leave(g->callers);
+    }
+    if (age > g->set.stop_us - STOP_RESERVE_US) {
+        callers_close_idle(g->callers);
+    }
+    if ((age > STOP_EARLIEST_US && callers_open(g->callers) == 0) ||
+        (age > g->set.stop_us - STOP_RESERVE_US &&
+         callers_busy(g->callers) == 0)) {
+        dlog_event(g->log, DLOG_INFO, "vm", "event=stopped after_ms=%" PRId64,
+                   age / 1000);
+        evl_stop(g->loop);
+    }
+}
+
+static void
+on_tick(void *ctx, int64_t now_us)
+{
+    Edge *g = ctx;
+    int by_region[REGIONS_MAX] = {0};
+
+    for (int i = 0; i < vml_count(g->vms); i++) {
+        by_region[vml_at(g->vms, i)->region]++;
+    }
+    int gone = ups_expire(g->upstreams, now_us);
+    if (gone > 0) {
+        dlog_event(g->log, DLOG_INFO, "upstream", "event=gone count=%d", gone);
+    }
+    demand_step(g->demand, g->upstreams, by_region, now_us);
+    send_beats(g);
+    look_for_suspension(g, now_us);
+    if (now_us - g->look_us >= LOOK_US) {
+        g->look_us = now_us;
+        look_at_settings(g);
+    }
+    if (g->leaving) {
+        step_stop(g, now_us);
+    }
+    dlog_flush(g->log);
+    evl_arm(g->loop, &g->tick, now_us + TICK_US);
+}
+
+static bool
+is_ready(const Edge *g)
+{
+    return !g->leaving && g->view_complete && px_routes(g->px) != NULL;
+}
+
+static void
+answer_resolve(Edge *g, Caller *c, const PfResolve *q, int64_t now_us)
+{
+    const char *out[ADDRESSES_MAX];
+    int zone = places_zone(&g->set.places, str_of(q->zone));
+    int region = places_region(&g->set.places, str_of(q->region));
+    int n = vml_resolve(g->vms, zone, region, out, ADDRESSES_MAX, now_us);
+
+    if (n == 0) {
+        caller_say(c, 503, "no_vm_known", 0);
+        return;
+    }
+    GString *body = pf_resolve_answer(out, n, g->set.directory_ttl_us);
+    caller_answer(c,
+                  str_of("HTTP/1.1 200 OK\r\n"
+                         "Content-Type: application/json\r\n"),
+                  body->str, body->len);
+    g_string_free(body, TRUE);
+}
+
+static void
+answer_metrics(Edge *g, Caller *c)
+{
+    GString *t = g_string_new(NULL);
+    const RtTable *rt = px_routes(g->px);
+
+    px_metrics(g->px, t);
+    g_string_append_printf(t,
+                           "edge_config_version %" PRIu64 "\nedge_vms %d\n"
+                           "edge_store_calls_total %" PRId64
+                           "\nedge_callers %d\n"
+                           "edge_bad_heartbeats_total %" PRId64
+                           "\nedge_unreadable_entries_total %" PRId64 "\n",
+                           rt == NULL ? 0 : rt_version(rt), vml_count(g->vms),
+                           mirror_calls(g->mirror), callers_open(g->callers),
+                           peer_bad(g->peer), g->unreadable);
+    caller_answer(c, str_of("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"),
+                  t->str, t->len);
+    g_string_free(t, TRUE);
+}
+
+static void
+on_endpoint(void *ctx, Caller *c, const H1 *req, int64_t now_us)
+{
+    Edge *g = ctx;
+    PfResolve q = {0};
+
+    switch (pf_call(req->target, &q)) {
+    case PF_CALL_READY:
+        caller_say(c, is_ready(g) ? 200 : 503,
+                   is_ready(g) ? "ready" : "not_ready", 0);
+        break;
+    case PF_CALL_RESOLVE:
+        answer_resolve(g, c, &q, now_us);
+        break;
+    case PF_CALL_OTHER:
+        if (str_eqz(req->target, "/metrics")) {
+            answer_metrics(g, c);
+        }
+        else {
+            caller_say(c, 404, "no_such_path", 0);
+        }
+        break;
+    }
+}
+
+static void
+endpoint_left(void *ctx, void *user, int64_t now_us)
+{
+    (void)ctx;
+    (void)user;
+    (void)now_us;
+}
+
+static void
+endpoint_refused(void *ctx, int status, const Err *e)
+{
+    dlog_event(((Edge *)ctx)->log, DLOG_WARN, "endpoint",
+               "event=bad_request status=%d error=\"%s\"", status, e->text);
+}
+
+static CallerSet *
+open_endpoint(Edge *g, const struct sockaddr_in *at, Err *e)
+{
+    CallerOpts o = {
+        .loop = g->loop,
+        .at = *at,
+        .max_callers = ENDPOINT_CALLERS + g->set.descriptors / 16,
+        .max_held_bytes = ENDPOINT_HELD_BYTES,
+        .limits = {HEAD_BYTES_MAX, HEAD_BYTES_MAX, CALLER_IDLE_MS * 1000LL,
+                   CALLER_IDLE_MS * 1000LL},
+        .fns = {on_endpoint, endpoint_left, NULL, endpoint_refused},
+        .ctx = g,
+    };
+
+    return callers_new(&o, e);
+}
+
+static bool
+open_listeners(Edge *g, Err *e)
+{
+    CallerOpts o = {
+        .loop = g->loop,
+        .at = g->set.requests,
+        .max_callers = (int)(g->set.descriptors * CALLERS_PART),
+        .max_held_bytes = (size_t)(g->set.memory_mb * HELD_PART * 1024 * 1024),
+        .limits = {HEAD_BYTES_MAX, BODY_BYTES_MAX, CALLER_IDLE_MS * 1000LL,
+                   CALLER_IDLE_MS * 1000LL},
+        .fns = px_caller_fns,
+        .ctx = g->px,
+    };
+
+    g->callers = callers_new(&o, e);
+    g->ready = g->callers == NULL ? NULL : open_endpoint(g, &g->set.ready, e);
+    g->directory =
+        g->ready == NULL ? NULL : open_endpoint(g, &g->set.directory, e);
+    g->metrics =
+        g->directory == NULL ? NULL : open_endpoint(g, &g->set.metrics, e);
+    if (g->metrics != NULL) {
+        g->peer = peer_new(g->loop, &g->set.peers, on_beat, g, e);
+    }
+    return g->peer != NULL;
+}
+
+static void
+make_parts(Edge *g)
+{
+    const Places *pl = &g->set.places;
+    int region = pl->region_of[g->set.zone];
+    DlogOpts lo = {STDOUT_FILENO, LOG_LINES_PER_S, LOG_BUFFER_BYTES};
+
+    g->log = dlog_new(&lo);
+    g->rnd = g_rand_new_with_seed(
+        (guint32)hash_str(str_of(g->set.vm_id), g->boot_ms));
+    g->vms = vml_new(pl);
+    g->shares = g_array_new(FALSE, FALSE, sizeof(PickVm));
+    g->upstreams =
+        ups_new(pl, MIN(GONE_GRACE_US, g->set.drain_us - GONE_MARGIN_US));
+    g->pool = uconns_new(g->loop);
+    DemandOpts dopt = {
+        .places = pl,
+        .region = region,
+        .max_shift_per_s = g->set.max_shift / SHIFT_WINDOW_S * SHIFT_PART,
+        .retry_ratio = g->set.retry_ratio,
+        .retry_slack = g->set.retry_slack,
+        .retry_window_us = g->set.retry_window_us,
+    };
+    g->demand = demand_new(&dopt);
+    PxOpts po = {
+        .loop = g->loop,
+        .log = g->log,
+        .names = &pf_names,
+        .places = pl,
+        .region = region,
+        .upstreams = g->upstreams,
+        .pool = g->pool,
+        .demand = g->demand,
+        .rnd = g->rnd,
+    };
+    g->px = px_new(&po);
+}
+
+static void
+start_mirror(Edge *g)
+{
+    MirrorOpts mo = {
+        .loop = g->loop,
+        .log = g->log,
+        .codec = &pf_kv,
+        .store = g->set.store,
+        .prefixes = pf_prefixes,
+        .rnd = g->rnd,
+        .fns = {on_item, on_view, on_trouble},
+        .ctx = g,
+    };
+
+    g->mirror = mirror_new(&mo);
+    write_record(g);
+}
+
+Edge *
+edge_new(Evl *loop, const char *file, Err *e)
+{
+    Edge *g = g_new0(Edge, 1);
+
+    g->loop = loop;
+    g->file = g_strdup(file);
+    g->boot_ms = (uint64_t)(g_get_real_time() / 1000);
+    if (!eset_read(&g->set, file, e)) {
+        g_free(g->file);
+        g_free(g);
+        return NULL;
+    }
+    make_parts(g);
+    if (!open_listeners(g, e)) {
+        edge_free(g);
+        return NULL;
+    }
+    edge_reload(g);
+    start_mirror(g);
+    dlog_event(g->log, DLOG_INFO, "vm",
+               "id=%s event=started zone=%s boot=%" PRIu64, g->set.vm_id,
+               g->set.places.zones[g->set.zone], g->boot_ms);
+    g->tick = (EvlTimer){.fn = on_tick, .ctx = g};
+    evl_arm(loop, &g->tick, evl_now(loop) + TICK_US);
+    return g;
+}
+
+void
+edge_free(Edge *g)
+{
+    evl_disarm(g->loop, &g->tick);
+    if (g->mirror != NULL) {
+        mirror_free(g->mirror);
+    }
+    if (g->peer != NULL) {
+        peer_free(g->peer);
+    }
+    callers_free(g->metrics);
+    callers_free(g->directory);
+    callers_free(g->ready);
+    callers_free(g->callers);
+    px_free(g->px);
+    uconns_free(g->pool);
+    demand_free(g->demand);
+    ups_free(g->upstreams);
+    g_array_free(g->shares, TRUE);
+    vml_free(g->vms);
+    g_rand_free(g->rnd);
+    dlog_free(g->log);
+    g_free(g->file);
+    g_free(g);
+}
+
+void
+edge_leave(Edge *g)
+{
+    if (g->leaving) {
+        return;
+    }
+    g->leaving = true;
+    g->leave_us = evl_now(g->loop);
+    dlog_event(g->log, DLOG_INFO, "vm", "event=leaving callers=%d busy=%d",
+               callers_open(g->callers), callers_busy(g->callers));
+    Vm *v = vml_find(g->vms, str_of(g->set.vm_id));
+    if (v != NULL) {
+        v->leaving = true;
+    }
+    send_beats(g);
+    write_record(g);
+}
--- /dev/null
+++ b/src/eset.h
@@ -0,0 +1,48 @@
+/*
+ * eset - settings of mimosa-edge, INI, checked when read.
+ *
+ * [vm]      id, zone, memory_mb, descriptors
+ * [zones]   ZONE = REGION, one line a zone
+ * [listen]  requests, ready, directory, peers, metrics ("IP:PORT" each)
+ * [store]   address
+ * [bounds]  drain, configuration, stop, directory_ttl (times),
+ *           max_shift (part of a region's requests in 2 s),
+ *           retry_ratio, retry_slack, retry_window
+ */
+#ifndef MIMOSA_ESET_H
+#define MIMOSA_ESET_H
+
+#include <netinet/in.h>
+#include <stdint.h>
+
+#include "err.h"
+#include "limits.h"
+#include "places.h"
+
+typedef struct Eset {
+    char vm_id[NAME_BYTES];
+    int zone;
+    Places places;
+    int memory_mb;
+    int descriptors;
+    char requests_text[ADDR_BYTES]; /* as the directory names it */
+    struct sockaddr_in requests;
+    struct sockaddr_in ready;
+    struct sockaddr_in directory;
+    struct sockaddr_in peers;
+    struct sockaddr_in metrics;
+    struct sockaddr_in store;
+    int64_t drain_us; /* after it a leaving upstream gets nothing new */
+    int64_t stop_us;  /* between the signal to stop and the kill */
+    int64_t directory_ttl_us;
+    double max_shift;
+    double retry_ratio;
+    double retry_slack;
+    int64_t retry_window_us;
+} Eset;
+
+/* Errors: ERR_IO, ERR_SYNTAX, ERR_VALUE; the text names file, group, key, the
+ * value found, what is allowed, and the remedy. */
+bool eset_read(Eset *s, const char *file, Err *e);
+
+#endif
--- /dev/null
+++ b/src/gate.c
@@ -0,0 +1,31 @@
+/* gate - what to do with a request for which there is no room.
+ * See gate.h. */
+#include "gate.h"
+
+#include <glib.h>
+
+/* Part of the latency target that a request may wait for room. */
+#define HOLD_PART 0.12
+/* Callers keep to a Retry-After of up to that part of the time they have. */
+#define RETRY_LEFT_PART 0.33
+#define RETRY_TARGET_PART 0.35 /* of the latency target, before the spread */
+#define RETRY_NONE_US 700000   /* nothing usable: wait for discovery */
+
+GateOut
+gate_decide(const GateIn *in)
+{
+    GateOut out = {false, 0};
+
+    if (in->any_usable && in->held_us < in->target_us * HOLD_PART &&
+        in->left_us > in->work_us) {
+        out.hold = true;
+        return out;
+    }
+    int64_t wait = in->any_usable
+                       ? (int64_t)((double)in->target_us * RETRY_TARGET_PART)
+                       : RETRY_NONE_US;
+    wait = (int64_t)((double)wait * (0.6 + 0.8 * in->dice));
+    out.retry_us = MIN(wait, (int64_t)((double)in->left_us * RETRY_LEFT_PART));
+    out.retry_us = MAX(out.retry_us, 1000);
+    return out;
+}
--- /dev/null
+++ b/src/h1.c
@@ -0,0 +1,361 @@
+/* h1 - strict reading of HTTP/1.1 messages.  See h1.h. */
+#include "h1.h"
+
+#include <string.h>
+#include <strings.h>
+
+#define BLANK_LINES_MAX 2 /* tolerated before a request, RFC 9112 2.2 */
+
+bool
+h1_same_name(Str a, const char *b)
+{
+    size_t n = strlen(b);
+
+    return a.n == n && strncasecmp(a.p, b, n) == 0;
+}
+
+static int
+on_headers_complete(http_parser *p)
+{
+    H1 *h = p->data;
+
+    h->has_head = true;
+    return h->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t n)
+{
+    H1 *h = p->data;
+
+    g_byte_array_append(h->body, (const guint8 *)at, (guint)n);
+    return 0;
+}
+
+static int
+on_complete(http_parser *p)
+{
+    H1 *h = p->data;
+
+    h->state = H1_DONE;
+    h->keep = http_should_keep_alive(p) != 0;
+    http_parser_pause(p, 1);
+    return 0;
+}
+
+static const http_parser_settings h1_settings = {
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_complete,
+};
+
+static void
+restart(H1 *h)
+{
+    http_parser_init(&h->parser, h->parser.type == HTTP_REQUEST
+                                     ? HTTP_REQUEST
+                                     : HTTP_RESPONSE);
+    h->parser.data = h;
+    h->state = H1_WAIT;
+    h->n_headers = 0;
+    h->length = -1;
+    h->chunked = false;
+    h->no_body = false;
+    h->keep = false;
+    h->has_head = false;
+}
+
+void
+h1_init(H1 *h, bool request)
+{
+    memset(h, 0, sizeof(*h));
+    h->parser.type = request ? HTTP_REQUEST : HTTP_RESPONSE;
+    h->head = g_byte_array_new();
+    h->body = g_byte_array_new();
+    restart(h);
+}
+
+void
+h1_clear(H1 *h)
+{
+    g_byte_array_unref(h->head);
+    g_byte_array_unref(h->body);
+    h->head = NULL;
+    h->body = NULL;
+}
+
+void
+h1_next(H1 *h)
+{
+    g_byte_array_set_size(h->head, 0);
+    g_byte_array_set_size(h->body, 0);
+    restart(h);
+}
+
+static Str
+trim(Str s)
+{
+    while (s.n > 0 && (s.p[0] == ' ' || s.p[0] == '\t')) {
+        s.p++;
+        s.n--;
+    }
+    while (s.n > 0 && (s.p[s.n - 1] == ' ' || s.p[s.n - 1] == '\t')) {
+        s.n--;
+    }
+    return s;
+}
+
+static bool
+is_token(Str s)
+{
+    for (size_t i = 0; i < s.n; i++) {
+        unsigned char c = (unsigned char)s.p[i];
+        if (!g_ascii_isalnum(c) && strchr("!#$%&'*+-.^_`|~", c) == NULL) {
+            return false;
+        }
+    }
+    return s.n > 0;
+}
+
+static bool
+check_value(Str v)
+{
+    for (size_t i = 0; i < v.n; i++) {
+        unsigned char c = (unsigned char)v.p[i];
+        if ((c < 0x20 && c != '\t') || c == 0x7f) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+note_framing(H1 *h, const H1Header *x, Err *e)
+{
+    uint64_t n;
+
+    if (h1_same_name(x->name, "content-length")) {
+        if (h->length >= 0 || !str_u64(x->value, INT64_MAX, &n)) {
+            return err_set(e, ERR_PROTOCOL,
+                           "Content-Length is repeated or not a number; "
+                           "send one decimal length");
+        }
+        h->length = (int64_t)n;
+    }
+    else if (h1_same_name(x->name, "transfer-encoding")) {
+        if (h->chunked || !h1_same_name(x->value, "chunked")) {
+            return err_set(e, ERR_PROTOCOL,
+                           "Transfer-Encoding is repeated or not "
+                           "\"chunked\"; send \"chunked\" once");
+        }
+        h->chunked = true;
+    }
+    return true;
+}
+
+static bool
+read_line(H1 *h, Str line, Err *e)
+{
+    const char *colon = memchr(line.p, ':', line.n);
+
+    if (colon == NULL || h->n_headers == H1_HEADERS_MAX) {
+        return err_set(e, ERR_PROTOCOL,
+                       "header line without a colon, or over %d lines",
+                       H1_HEADERS_MAX);
+    }
+    H1Header *x = &h->headers[h->n_headers];
+    x->name = (Str){line.p, (size_t)(colon - line.p)};
+    x->value = trim((Str){colon + 1, line.n - x->name.n - 1});
+    /* Also refuses folded lines and blanks before the colon. */
+    if (!is_token(x->name) || !check_value(x->value)) {
+        return err_set(e, ERR_PROTOCOL,
+                       "header line %d has characters that are not allowed",
+                       h->n_headers + 1);
+    }
+    h->n_headers++;
+    return note_framing(h, x, e);
+}
+
+static bool
+read_start(H1 *h, Str line, Err *e)
+{
+    const char *a = memchr(line.p, ' ', line.n);
+
+    if (!check_value(line) || a == NULL) {
+        return err_set(e, ERR_PROTOCOL, "start line is malformed");
+    }
+    if (h->parser.type == HTTP_REQUEST) {
+        const char *t = a + 1;
+        const char *b = memchr(t, ' ', line.n - (size_t)(t - line.p));
+        if (b == NULL || b == t) {
+            return err_set(e, ERR_PROTOCOL, "request line is malformed");
+        }
+        h->target = (Str){t, (size_t)(b - t)};
+    }
+    return true;
+}
+
+/* Splits the head at CRLF; a bare CR or LF is found by check_value(). */
+static bool
+read_head(H1 *h, Err *e)
+{
+    Str left = {(const char *)h->head->data, h->head->len - 2};
+    bool first = true;
+
+    while (left.n > 0) {
+        const char *end = memmem(left.p, left.n, "\r\n", 2);
+        Str line = {left.p, end == NULL ? left.n : (size_t)(end - left.p)};
+        if (!(first ? read_start(h, line, e) : read_line(h, line, e))) {
+            return false;
+        }
+        first = false;
+        left.p += line.n + 2;
+        left.n -= MIN(left.n, line.n + 2);
+    }
+    if (h->chunked && h->length >= 0) {
+        return err_set(e, ERR_PROTOCOL,
+                       "Content-Length beside Transfer-Encoding; send one");
+    }
+    return true;
+}
+
+static void
+skip_blank_lines(GByteArray *in)
+{
+    guint n = 0;
+
+    while (n < 2 * BLANK_LINES_MAX && n + 2 <= in->len &&
+           in->data[n] == '\r' && in->data[n + 1] == '\n') {
+        n += 2;
+    }
+    if (n > 0) {
+        g_byte_array_remove_range(in, 0, n);
+    }
+}
+
+static H1State
+fail(H1 *h, H1State s)
+{
+    h->state = s;
+    return s;
+}
+
+/* Runs the parser; its own checks come on top of ours. */
+static bool
+execute(H1 *h, const uint8_t *p, size_t n, size_t *used, Err *e)
+{
+    *used = http_parser_execute(&h->parser, &h1_settings, (const char *)p, n);
+    enum http_errno err = HTTP_PARSER_ERRNO(&h->parser);
+    if (err == HPE_OK || err == HPE_PAUSED) {
+        return true;
+    }
+    return err_set(e, ERR_PROTOCOL, "%s", http_errno_description(err));
+}
+
+H1State
+h1_feed(H1 *h, GByteArray *in, size_t head_max, Err *e)
+{
+    size_t used;
+
+    if (h->state == H1_WAIT) {
+        if (h->parser.type == HTTP_REQUEST) {
+            skip_blank_lines(in);
+        }
+        if (in->len == 0) {
+            return h->state;
+        }
+        uint8_t *end = memmem(in->data, in->len, "\r\n\r\n", 4);
+        size_t n = end == NULL ? in->len : (size_t)(end - in->data) + 4;
+        if (n > head_max) {
+            err_set(e, ERR_LIMIT, "the head has over %zu bytes", head_max);
+            return fail(h, H1_BIG);
+        }
+        if (end == NULL) {
+            return h->state;
+        }
+        g_byte_array_append(h->head, in->data, (guint)n);
+        g_byte_array_remove_range(in, 0, (guint)n);
+        h->state = H1_BODY;
+        if (!read_head(h, e) || !execute(h, h->head->data, n, &used, e) ||
+            !h->has_head || h->parser.upgrade) {
+            return fail(h, H1_ERROR);
+        }
+    }
+    if (h->state == H1_BODY && in->len > 0) {
+        if (!execute(h, in->data, in->len, &used, e)) {
+            return fail(h, H1_ERROR);
+        }
+        g_byte_array_remove_range(in, 0, (guint)used);
+    }
+    return h->state;
+}
+
+H1State
+h1_eof(H1 *h)
+{
+    if (h->state == H1_BODY && h->parser.type == HTTP_RESPONSE) {
+        http_parser_execute(&h->parser, &h1_settings, NULL, 0);
+    }
+    if (h->state != H1_DONE) {
+        h->state = H1_ERROR;
+    }
+    h->keep = false;
+    return h->state;
+}
+
+Str
+h1_get(const H1 *h, const char *name)
+{
+    for (int i = 0; i < h->n_headers; i++) {
+        if (h1_same_name(h->headers[i].name, name)) {
+            return h->headers[i].value;
+        }
+    }
+    return (Str){NULL, 0};
+}
+
+Str
+h1_method(const H1 *h)
+{
+    return str_of(http_method_str(h->parser.method));
+}
+
+static bool
+list_names(Str list, Str name)
+{
+    while (list.n > 0) {
+        const char *c = memchr(list.p, ',', list.n);
+        size_t n = c == NULL ? list.n : (size_t)(c - list.p);
+        Str one = trim((Str){list.p, n});
+        if (one.n == name.n && strncasecmp(one.p, name.p, name.n) == 0) {
+            return true;
+        }
+        list.p += MIN(list.n, n + 1);
+        list.n -= MIN(list.n, n + 1);
+    }
+    return false;
+}
+
+bool
+h1_is_hop(const H1 *h, Str name)
+{
+    static const char *const hop[] = {
+        "connection",          "keep-alive", "proxy-authenticate",
+        "proxy-authorization", "te",         "trailer",
+        "transfer-encoding",   "upgrade",    "proxy-connection",
+        "content-length",      "expect",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(hop); i++) {
+        if (h1_same_name(name, hop[i])) {
+            return true;
+        }
+    }
+    for (int i = 0; i < h->n_headers; i++) {
+        if (h1_same_name(h->headers[i].name, "connection") &&
+            list_names(h->headers[i].value, name)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/src/kv.c
@@ -0,0 +1,153 @@
+/* kv - one connection to a key-value service.  See kv.h. */
+#include "kv.h"
+
+#include "h1.h"
+#include "strm.h"
+
+#define UNACKED_MS 1000
+#define HEAD_MAX 16384
+
+struct KvConn {
+    Evl *loop;
+    struct sockaddr_in at;
+    Strm strm;
+    bool open;
+    H1 answer;
+    EvlTimer timer;
+    KvDone done;
+    void *ctx;
+};
+
+static void
+item_clear(gpointer p)
+{
+    KvItem *i = p;
+
+    g_free(i->key);
+    if (i->value != NULL) {
+        g_bytes_unref(i->value);
+    }
+}
+
+void
+kv_page_clear(KvPage *p)
+{
+    if (p->items != NULL) {
+        g_array_set_clear_func(p->items, item_clear);
+        g_array_free(p->items, TRUE);
+        p->items = NULL;
+    }
+}
+
+static void
+drop(KvConn *c)
+{
+    if (c->open) {
+        strm_close(&c->strm);
+        c->open = false;
+    }
+}
+
+static void
+finish(KvConn *c, int status)
+{
+    KvDone done = c->done;
+    Str body = {(const char *)c->answer.body->data, c->answer.body->len};
+
+    if (status == KV_NO_ANSWER || !c->answer.keep || c->strm.in->len > 0) {
+        drop(c);
+    }
+    evl_disarm(c->loop, &c->timer);
+    c->done = NULL;
+    if (done != NULL) {
+        done(c->ctx, status, body, evl_now(c->loop));
+    }
+}
+
+static void
+on_stream(void *ctx, StrmEvent ev)
+{
+    KvConn *c = ctx;
+    Err e = {0};
+
+    if (ev == STRM_CONNECTED || ev == STRM_FLUSHED) {
+        return;
+    }
+    if (c->done == NULL) {
+        drop(c);
+        return;
+    }
+    if (ev == STRM_READABLE) {
+        H1State st = h1_feed(&c->answer, c->strm.in, HEAD_MAX, &e);
+        if (st == H1_DONE) {
+            finish(c, (int)c->answer.parser.status_code);
+        }
+        else if (st == H1_ERROR || st == H1_BIG) {
+            finish(c, KV_NO_ANSWER);
+        }
+        return;
+    }
+    finish(c, KV_NO_ANSWER);
+}
+
+static void
+on_timeout(void *ctx, int64_t now_us)
+{
+    (void)now_us;
+    finish(ctx, KV_NO_ANSWER);
+}
+
+KvConn *
+kv_new(Evl *loop, const struct sockaddr_in *at)
+{
+    KvConn *c = g_new0(KvConn, 1);
+
+    c->loop = loop;
+    c->at = *at;
+    h1_init(&c->answer, false);
+    c->timer = (EvlTimer){.fn = on_timeout, .ctx = c};
+    return c;
+}
+
+void
+kv_free(KvConn *c)
+{
+    kv_cancel(c);
+    drop(c);
+    h1_clear(&c->answer);
+    g_free(c);
+}
+
+bool
+kv_busy(const KvConn *c)
+{
+    return c->done != NULL;
+}
+
+void
+kv_call(KvConn *c, GString *request, int64_t timeout_us, KvDone done,
+        void *ctx)
+{
+    c->done = done;
+    c->ctx = ctx;
+    h1_next(&c->answer);
+    if (!c->open) {
+        c->open =
+            strm_connect(&c->strm, c->loop, &c->at, UNACKED_MS, on_stream, c);
+    }
+    if (c->open) {
+        strm_write(&c->strm, request->str, request->len);
+    }
+    g_string_free(request, TRUE);
+    evl_arm(c->loop, &c->timer, evl_now(c->loop) + (c->open ? timeout_us : 0));
+}
+
+void
+kv_cancel(KvConn *c)
+{
+    if (c->done != NULL) {
+        c->done = NULL;
+        evl_disarm(c->loop, &c->timer);
+        drop(c);
+    }
+}
--- /dev/null
+++ b/src/kv.h
@@ -0,0 +1,74 @@
+/*
+ * kv - one connection to a key-value service that speaks HTTP, one call at a
+ * time.
+ *
+ * The texts of requests and answers are the business of a KvCodec; this
+ * module knows time limits, lost connections and status codes only.
+ */
+#ifndef MIMOSA_KV_H
+#define MIMOSA_KV_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "err.h"
+#include "evl.h"
+#include "str.h"
+
+typedef struct KvItem {
+    char *key;
+    GBytes *value; /* NULL when deleted */
+    uint64_t rev;
+    bool deleted;
+} KvItem;
+
+/* A page of a listing, or the events of a watch. */
+typedef struct KvPage {
+    GArray *items; /* KvItem */
+    bool more;     /* another page follows */
+    uint64_t rev;  /* revision of the store */
+} KvPage;
+
+typedef struct KvLease {
+    uint64_t id;
+    int64_t ttl_us;
+} KvLease;
+
+/* Each writer returns a whole HTTP request. */
+typedef struct KvCodec {
+    GString *(*list)(const char *prefix, const char *after);
+    GString *(*watch)(const char *prefix, uint64_t after, int wait_ms);
+    GString *(*lease_new)(int64_t ttl_us);
+    GString *(*lease_keep)(uint64_t id);
+    GString *(*lease_end)(uint64_t id);
+    GString *(*put)(const char *key, Str value, uint64_t lease);
+    /* Errors: ERR_PROTOCOL. */
+    bool (*read_page)(Str body, KvPage *out, Err *e);
+    bool (*read_lease)(Str body, KvLease *out, Err *e);
+} KvCodec;
+
+void kv_page_clear(KvPage *p);
+
+#define KV_NO_ANSWER 0 /* the call may have been executed, now or later */
+
+/* status: of HTTP, or KV_NO_ANSWER. */
+typedef void (*KvDone)(void *ctx, int status, Str body, int64_t now_us);
+
+typedef struct KvConn KvConn;
+
+KvConn *kv_new(Evl *loop, const struct sockaddr_in *at);
+void kv_free(KvConn *c);
+bool kv_busy(const KvConn *c);
+
+/* Starts a call; takes request over.  The connection must not be busy. */
+void kv_call(KvConn *c, GString *request, int64_t timeout_us, KvDone done,
+             void *ctx);
+
+/* Gives up the call under way; its callback is not called. */
+void kv_cancel(KvConn *c);
+
+#endif
--- /dev/null
+++ b/src/outcome.c
@@ -0,0 +1,50 @@
+/* outcome - what to do after an attempt at an upstream ended.
+ * See outcome.h. */
+#include "outcome.h"
+
+typedef struct Row {
+    bool again_idempotent;
+    bool again_other;
+    OutcomeAct last;     /* when no attempt is left */
+    OutcomeAct last_ran; /* the same, after a run that may have happened */
+} Row;
+
+static const Row rows[] = {
+    [UP_NOT_SENT] = {true, true, OUT_NOT_RUN, OUT_FAILED},
+    [UP_NOT_RUN] = {true, true, OUT_NOT_RUN, OUT_FAILED},
+    [UP_LOST] = {true, false, OUT_FAILED, OUT_FAILED},
+    [UP_GARBLED] = {true, false, OUT_FAILED, OUT_FAILED},
+    [UP_ANSWER] = {false, false, OUT_PASS, OUT_PASS},
+    [UP_CUT] = {false, false, OUT_CUT, OUT_CUT},
+    [UP_LATE] = {false, false, OUT_TIMED_OUT, OUT_TIMED_OUT},
+};
+
+OutcomeAct
+outcome_decide(const OutcomeIn *in)
+{
+    const Row *r = &rows[in->end];
+
+    if (in->may_again &&
+        (in->idempotent ? r->again_idempotent : r->again_other)) {
+        return OUT_AGAIN;
+    }
+    return in->ran ? r->last_ran : r->last;
+}
+
+const char *
+outcome_end_name(UpEnd e)
+{
+    static const char *const names[] = {
+        "not_sent", "not_run", "lost", "garbled", "answer", "cut", "late"};
+
+    return names[e];
+}
+
+const char *
+outcome_act_name(OutcomeAct a)
+{
+    static const char *const names[] = {"pass",   "again",     "refused",
+                                        "failed", "timed_out", "cut"};
+
+    return names[a];
+}
--- /dev/null
+++ b/src/peer.c
@@ -0,0 +1,159 @@
+/* peer - heartbeats between entry VMs.  See peer.h. */
+#include "peer.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <rpc/rpc.h>
+
+#define MAGIC 0x6d696d31U /* "mim1": format version 1 */
+#define DATAGRAMS_PER_TURN 64
+#define NEED_SCALE 1000.0 /* slots are sent in thousandths */
+
+struct Peer {
+    Evl *loop;
+    EvlFd ev;
+    PeerFn fn;
+    void *ctx;
+    int64_t bad;
+};
+
+static bool_t
+xdr_need(XDR *x, PeerNeed *n)
+{
+    u_quad_t id = n->service;
+    u_int milli = (u_int)(n->slots * NEED_SCALE);
+
+    if (!xdr_u_int64_t(x, &id) || !xdr_u_int(x, &milli)) {
+        return FALSE;
+    }
+    n->service = id;
+    n->slots = milli / NEED_SCALE;
+    return TRUE;
+}
+
+static bool_t
+xdr_beat(XDR *x, PeerBeat *b)
+{
+    u_int magic = MAGIC;
+    char *name = b->vm;
+    u_quad_t boot = b->boot_ms;
+    bool_t leaving = b->leaving ? TRUE : FALSE;
+    int n = b->n_needs;
+
+    if (!xdr_u_int(x, &magic) || magic != MAGIC ||
+        !xdr_string(x, &name, NAME_BYTES - 1) || !xdr_u_int64_t(x, &boot) ||
+        !xdr_bool(x, &leaving) || !xdr_int(x, &n) || n < 0 ||
+        n > PEER_SERVICES_MAX) {
+        return FALSE;
+    }
+    b->boot_ms = boot;
+    b->leaving = leaving != FALSE;
+    b->n_needs = n;
+    for (int i = 0; i < n; i++) {
+        if (!xdr_need(x, &b->needs[i])) {
+            return FALSE;
+        }
+    }
+    return TRUE;
+}
+
+size_t
+peer_encode(const PeerBeat *b, char *out, size_t cap)
+{
+    PeerBeat copy = *b;
+    XDR x;
+
+    xdrmem_create(&x, out, (u_int)cap, XDR_ENCODE);
+    size_t n = xdr_beat(&x, &copy) ? xdr_getpos(&x) : 0;
+    xdr_destroy(&x);
+    return n;
+}
+
+bool
+peer_decode(PeerBeat *b, const char *p, size_t n, Err *e)
+{
+    char buf[PEER_BYTES_MAX];
+    XDR x;
+
+    memset(b, 0, sizeof(*b));
+    if (n > sizeof(buf)) {
+        return err_set(e, ERR_PROTOCOL, "heartbeat of %zu bytes", n);
+    }
+    memcpy(buf, p, n);
+    xdrmem_create(&x, buf, (u_int)n, XDR_DECODE);
+    bool ok = xdr_beat(&x, b);
+    xdr_destroy(&x);
+    return ok ||
+           err_set(e, ERR_PROTOCOL, "heartbeat is cut short or not ours");
+}
+
+static void
+on_datagram(void *ctx, uint32_t events)
+{
+    Peer *p = ctx;
+    char buf[PEER_BYTES_MAX];
+    PeerBeat b;
+    (void)events;
+
+    for (int i = 0; i < DATAGRAMS_PER_TURN; i++) {
+        ssize_t n = recv(p->ev.fd, buf, sizeof(buf), MSG_DONTWAIT);
+        if (n < 0) {
+            return;
+        }
+        if (!peer_decode(&b, buf, (size_t)n, NULL)) {
+            p->bad++;
+            continue;
+        }
+        p->fn(p->ctx, &b, evl_now(p->loop));
+    }
+}
+
+Peer *
+peer_new(Evl *loop, const struct sockaddr_in *at, PeerFn fn, void *ctx, Err *e)
+{
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd < 0 || bind(fd, (const struct sockaddr *)at, sizeof(*at)) != 0) {
+        err_set(e, ERR_IO,
+                "heartbeats on port %d: %s; free the port or change "
+                "[listen] peers",
+                ntohs(at->sin_port), strerror(errno));
+        if (fd >= 0) {
+            close(fd);
+        }
+        return NULL;
+    }
+    Peer *p = g_new0(Peer, 1);
+    p->loop = loop;
+    p->fn = fn;
+    p->ctx = ctx;
+    p->ev = (EvlFd){.fd = fd, .fn = on_datagram, .ctx = p};
+    evl_add(loop, &p->ev, EPOLLIN);
+    return p;
+}
+
+void
+peer_free(Peer *p)
+{
+    evl_del(p->loop, &p->ev);
+    close(p->ev.fd);
+    g_free(p);
+}
+
+void
+peer_send(Peer *p, const struct sockaddr_in *to, const char *data, size_t n)
+{
+    /* A heartbeat that cannot be sent now is as good as a lost one. */
+    (void)sendto(p->ev.fd, data, n, MSG_DONTWAIT | MSG_NOSIGNAL,
+                 (const struct sockaddr *)to, sizeof(*to));
+}
+
+int64_t
+peer_bad(const Peer *p)
+{
+    return p->bad;
+}
--- /dev/null
+++ b/src/peer.h
@@ -0,0 +1,54 @@
+/*
+ * peer - heartbeats between entry VMs, as XDR datagrams.
+ *
+ * A heartbeat tells that its VM lives, whether it leaves, and what its
+ * callers ask of each service.  Lost ones do not matter: the next tells all.
+ */
+#ifndef MIMOSA_PEER_H
+#define MIMOSA_PEER_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "err.h"
+#include "evl.h"
+#include "limits.h"
+
+#define PEER_SERVICES_MAX 32
+#define PEER_BYTES_MAX 1200 /* fits one packet on common links */
+
+typedef struct PeerNeed {
+    uint64_t service; /* hash of the name */
+    double slots;
+} PeerNeed;
+
+typedef struct PeerBeat {
+    char vm[NAME_BYTES];
+    uint64_t boot_ms;
+    bool leaving;
+    int n_needs;
+    PeerNeed needs[PEER_SERVICES_MAX];
+} PeerBeat;
+
+/* Returns the length, or 0 when cap is too small. */
+size_t peer_encode(const PeerBeat *b, char *out, size_t cap);
+/* Errors: ERR_PROTOCOL. */
+bool peer_decode(PeerBeat *b, const char *p, size_t n, Err *e);
+
+typedef void (*PeerFn)(void *ctx, const PeerBeat *b, int64_t now_us);
+
+typedef struct Peer Peer;
+
+/* Errors: ERR_IO when the address cannot be bound. */
+Peer *peer_new(Evl *loop, const struct sockaddr_in *at, PeerFn fn, void *ctx,
+               Err *e);
+void peer_free(Peer *p);
+void peer_send(Peer *p, const struct sockaddr_in *to, const char *data,
+               size_t n);
+
+/* Datagrams that could not be read. */
+int64_t peer_bad(const Peer *p);
+
+#endif
--- /dev/null
+++ b/src/pick.c
@@ -0,0 +1,212 @@
+/* pick - choice of an upstream for one request.  See pick.h. */
+#include "pick.h"
+
+#include <math.h>
+
+#include "hash.h"
+
+#define CANDIDATES 3 /* upstreams that may know one object, per region */
+
+/* What a later candidate costs, in parts of its slots: the first one is used
+ * until it is that much fuller. */
+static const double rank_cost[CANDIDATES] = {0, 0.35, 0.5};
+
+/* Load over the slots up to which a rank is let in; the upstream queues what
+ * is over 1.  Less urgent work leaves room for more urgent work. */
+static const double fill_limit[RANKS_MAX] = {1.9, 1.6, 1.25, 1.0};
+
+#define FAILS_COST 3.0       /* a failing upstream against a full one */
+#define SLOW_FROM 1.6        /* slowness that starts to count */
+#define SLOW_COST 0.6        /* per unit of slowness beyond that */
+#define DOWN_WAIT_US 1000000 /* between tries of one that is unreachable */
+#define COLD_PART 0.9        /* of the rate that a cold upstream bears */
+#define COLD_BURST 1.0
+#define COLD_NEAR 1.0  /* weight of VMs in the upstream's region ... */
+#define COLD_FAR 0.05  /* ... and of others, as users of a cold upstream */
+#define CONNS_PART 0.8 /* of an upstream's connections, for all VMs */
+#define CONNS_MIN 4
+
+typedef struct Candidate {
+    Ups *u;
+    double score; /* of the rendezvous hash */
+} Candidate;
+
+static bool
+was_tried(const PickIn *in, const Ups *u)
+{
+    for (int i = 0; i < in->n_tried; i++) {
+        if (in->tried[i] == u) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* True when this VM is one of the few that may use a cold upstream. */
+static bool
+shares_cold(const PickIn *in, const Ups *u)
+{
+    double own = 0;
+    int ahead = 0;
+
+    if (in->n_vms <= in->cold_vms) {
+        return true;
+    }
+    for (int pass = 0; pass < 2; pass++) {
+        for (int i = 0; i < in->n_vms; i++) {
+            double w = in->vms[i].region == u->region ? COLD_NEAR : COLD_FAR;
+            double s = hash_rendezvous(u->key, in->vms[i].key, w);
+            if (pass == 0 && i == in->self) {
+                own = s;
+            }
+            else if (pass == 1 && i != in->self && s > own) {
+                ahead++;
+            }
+        }
+    }
+    return ahead < in->cold_vms;
+}
+
+static double
+cold_rate(const PickIn *in)
+{
+    int n = MIN(MAX(in->n_vms, 1), in->cold_vms);
+
+    return in->service->cold_per_s * COLD_PART / n;
+}
+
+static bool
+may_use(const PickIn *in, Ups *u, int64_t now_us)
+{
+    int conns = (int)(in->service->max_conns * CONNS_PART / MAX(in->n_vms, 1));
+
+    if (!ups_usable(in->set, u) || was_tried(in, u) ||
+        now_us - u->down_us < DOWN_WAIT_US) {
+        return false;
+    }
+    if (u->idle.length == 0 && u->n_conns >= MAX(conns, CONNS_MIN)) {
+        return false;
+    }
+    if (!rt_home_allows(in->route, in->places->regions[u->region])) {
+        return false;
+    }
+    if (ups_cold(in->set, u, in->service->warmup_us, now_us)) {
+        return shares_cold(in, u) &&
+               bucket_has(&u->cold, cold_rate(in), COLD_BURST, now_us);
+    }
+    return true;
+}
+
+/* Keeps the best by rendezvous score; c has CANDIDATES places. */
+static int
+insert(Candidate *c, int n, Candidate x)
+{
+    int i = n < CANDIDATES ? n : CANDIDATES - 1;
+
+    if (n == CANDIDATES && x.score <= c[i].score) {
+        return n;
+    }
+    while (i > 0 && c[i - 1].score < x.score) {
+        c[i] = c[i - 1];
+        i--;
+    }
+    c[i] = x;
+    return MIN(n + 1, CANDIDATES);
+}
+
+/* region -1: any. */
+static int
+candidates(const PickIn *in, int region, Candidate *c, int64_t now_us)
+{
+    const GPtrArray *list = ups_of_service(in->set, in->service->id);
+    int n = 0;
+
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        Ups *u = g_ptr_array_index(list, i);
+        if ((region < 0 || u->region == region) && may_use(in, u, now_us)) {
+            double s = hash_rendezvous(in->object, u->key, u->slots);
+            n = insert(c, n, (Candidate){u, s});
+        }
+    }
+    return n;
+}
+
+static double
+cost(const Ups *u, int rank, int64_t now_us)
+{
+    double slow = ups_slowness(u, now_us);
+
+    return (ups_load(u, now_us) + 1) / u->slots + rank_cost[rank] +
+           FAILS_COST * ups_fails(u, now_us) +
+           SLOW_COST * fmax(0, slow - SLOW_FROM);
+}
+
+static bool
+has_room(const Ups *u, int rank, int64_t now_us)
+{
+    int r = CLAMP(rank, 0, RANKS_MAX - 1);
+
+    return ups_load(u, now_us) < u->slots * fill_limit[r];
+}
+
+static Ups *
+choose(const PickIn *in, const Candidate *c, int n, int64_t now_us, int *at)
+{
+    Ups *best = NULL;
+    double low = 0;
+
+    for (int i = 0; i < n; i++) {
+        double x = cost(c[i].u, i, now_us);
+        if (has_room(c[i].u, in->route->rank, now_us) &&
+            (best == NULL || x < low)) {
+            best = c[i].u;
+            low = x;
+            *at = i;
+        }
+    }
+    return best;
+}
+
+Ups *
+pick_upstream(const PickIn *in, int64_t now_us, PickWhy *why)
+{
+    Candidate c[CANDIDATES];
+    int region = in->region;
+    int at = 0;
+    bool away = false;
+
+    if (in->split != NULL && in->split->n > 0) {
+        /* Another hash than that of the upstreams, so that the objects of a
+         * region spread over all of its upstreams. */
+        double unit = hash_unit(hash_mix(in->object, in->service->id));
+        region = split_region(in->split, in->region, unit);
+    }
+    int n = candidates(in, region, c, now_us);
+    if (n == 0) {
+        away = true;
+        n = candidates(in, -1, c, now_us);
+    }
+    if (n == 0) {
+        *why = PICK_NONE;
+        return NULL;
+    }
+    Ups *u = choose(in, c, n, now_us, &at);
+    if (u == NULL) {
+        *why = PICK_FULL;
+        return NULL;
+    }
+    if (ups_cold(in->set, u, in->service->warmup_us, now_us)) {
+        bucket_take(&u->cold, cold_rate(in), COLD_BURST, now_us);
+    }
+    *why = away ? PICK_AWAY : (at == 0 ? PICK_FIRST : PICK_SPILL);
+    return u;
+}
+
+const char *
+pick_why_name(PickWhy w)
+{
+    static const char *const names[] = {"first", "spill", "away", "full",
+                                        "none"};
+
+    return names[w];
+}
--- /dev/null
+++ b/src/pick.h
@@ -0,0 +1,60 @@
+/*
+ * pick - choice of an upstream for one request.
+ *
+ * Load it answers: sticky work at up to all slots of a service.  An upstream
+ * that saw an object lately serves it in a fraction of the time, and it
+ * remembers a bounded number of objects.  Each object therefore has few
+ * candidates, by rendezvous hashing; spilling to any upstream with room would
+ * make all of them cold for all objects.  Among the candidates the load
+ * decides.  Pure.
+ */
+#ifndef MIMOSA_PICK_H
+#define MIMOSA_PICK_H
+
+#include <stdint.h>
+
+#include "rt.h"
+#include "split.h"
+#include "ups.h"
+
+#define PICK_TRIED_MAX 8 /* attempts of one request that are remembered */
+
+typedef enum PickWhy {
+    PICK_FIRST, /* the object's first candidate */
+    PICK_SPILL, /* a later candidate, by load or health */
+    PICK_AWAY,  /* the planned region has no usable upstream */
+    PICK_FULL,  /* the candidates have no room for this rank */
+    PICK_NONE   /* no usable upstream at all */
+} PickWhy;
+
+/* A VM that shares the limits of cold upstreams. */
+typedef struct PickVm {
+    uint64_t key;
+    int region;
+} PickVm;
+
+typedef struct PickIn {
+    const UpsSet *set;
+    const Places *places;
+    const Split *split; /* NULL: own region while it can */
+    const RtRoute *route;
+    const RtService *service;
+    uint64_t object; /* hash of the affinity key; of the attempt if none */
+    int region;      /* of the caller's entry VM */
+    const PickVm *vms;
+    int n_vms;
+    int self;     /* index in vms */
+    int cold_vms; /* how many VMs may use one cold upstream */
+    const Ups *tried[PICK_TRIED_MAX];
+    int n_tried;
+} PickIn;
+
+/*
+ * Returns an upstream, or NULL with PICK_FULL or PICK_NONE.  Takes a token of
+ * a cold upstream's share when it returns one.
+ */
+Ups *pick_upstream(const PickIn *in, int64_t now_us, PickWhy *why);
+
+const char *pick_why_name(PickWhy w);
+
+#endif
--- /dev/null
+++ b/src/px.h
@@ -0,0 +1,52 @@
+/*
+ * px - the way of a request: route, choice, attempts, answer.
+ *
+ * Owns the requests under way.  Decisions are made by rt, pick, gate, demand
+ * and outcome; this module drives them with sockets and time.
+ */
+#ifndef MIMOSA_PX_H
+#define MIMOSA_PX_H
+
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "caller.h"
+#include "ctr.h"
+#include "demand.h"
+#include "dlog.h"
+#include "pick.h"
+#include "pxhead.h"
+#include "uconn.h"
+
+typedef struct Px Px;
+
+typedef struct PxOpts {
+    Evl *loop;
+    Dlog *log;
+    const PxNames *names;
+    const Places *places;
+    int region; /* of this VM */
+    UpsSet *upstreams;
+    UconnPool *pool;
+    Demand *demand;
+    GRand *rnd;
+} PxOpts;
+
+Px *px_new(const PxOpts *o);
+void px_free(Px *p);
+
+/* Takes a reference of the table. */
+void px_set_routes(Px *p, RtTable *t);
+const RtTable *px_routes(const Px *p);
+
+/* VMs that share limits; borrowed until the next call. */
+void px_set_vms(Px *p, const PickVm *vms, int n, int self);
+
+/* Functions for callers_new(), with the Px as context. */
+extern const CallerFns px_caller_fns;
+
+/* Counters and histograms as text lines. */
+void px_metrics(const Px *p, GString *out);
+
+#endif
--- /dev/null
+++ b/src/pxhead.c
@@ -0,0 +1,92 @@
+/* pxhead - heads of forwarded requests and answers.  See pxhead.h. */
+#include "pxhead.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "limits.h"
+
+static void
+add(GString *g, Str name, Str value)
+{
+    g_string_append_len(g, name.p, (gssize)name.n);
+    g_string_append(g, ": ");
+    g_string_append_len(g, value.p, (gssize)value.n);
+    g_string_append(g, "\r\n");
+}
+
+GString *
+pxhead_request(const H1 *req, const PxNames *n, const char *upstream,
+               int64_t left_ms)
+{
+    GString *g = g_string_sized_new(req->head->len + 128);
+    Str method = h1_method(req);
+
+    g_string_append_len(g, method.p, (gssize)method.n);
+    g_string_append_c(g, ' ');
+    g_string_append_len(g, req->target.p, (gssize)req->target.n);
+    g_string_append(g, " HTTP/1.1\r\n");
+    for (int i = 0; i < req->n_headers; i++) {
+        const H1Header *x = &req->headers[i];
+        if (!h1_is_hop(req, x->name) &&
+            !h1_same_name(x->name, n->time_left_ms) &&
+            !h1_same_name(x->name, n->want_upstream)) {
+            add(g, x->name, x->value);
+        }
+    }
+    g_string_append_printf(g, "%s: %" PRId64 "\r\n%s: %s\r\n", n->time_left_ms,
+                           left_ms, n->want_upstream, upstream);
+    if (req->length >= 0 || req->chunked) {
+        g_string_append_printf(g, "Content-Length: %u\r\n", req->body->len);
+    }
+    g_string_append(g, "\r\n");
+    return g;
+}
+
+GString *
+pxhead_answer(const H1 *ans)
+{
+    GString *g = g_string_sized_new(ans->head->len + 32);
+    unsigned status = ans->parser.status_code;
+
+    g_string_append_printf(g, "HTTP/1.1 %u %s\r\n", status,
+                           http_status_str((enum http_status)status));
+    for (int i = 0; i < ans->n_headers; i++) {
+        if (!h1_is_hop(ans, ans->headers[i].name)) {
+            add(g, ans->headers[i].name, ans->headers[i].value);
+        }
+    }
+    return g;
+}
+
+PxAnswer
+pxhead_kind(const H1 *ans, const PxNames *n, Str attempt)
+{
+    Str id = h1_get(ans, n->attempt);
+    unsigned status = ans->parser.status_code;
+    bool not_run = status == 421 || h1_get(ans, n->not_run).n > 0;
+
+    if (id.n > 0 && !str_eq(id, attempt)) {
+        return PX_ANSWER_OTHER;
+    }
+    if (id.n == 0) {
+        return PX_ANSWER_BAD;
+    }
+    if (not_run) {
+        return PX_ANSWER_NOT_RUN;
+    }
+    if (status / 100 == 2 && h1_get(ans, n->seal).n == 0) {
+        return PX_ANSWER_BAD;
+    }
+    return PX_ANSWER_OWN;
+}
+
+bool
+pxhead_load(const H1 *ans, const PxNames *n, int *running, int *waiting)
+{
+    char buf[NAME_BYTES];
+
+    return str_copy(buf, sizeof(buf), h1_get(ans, n->load)) &&
+           sscanf(buf, "%d,%d", running, waiting) == 2 && *running >= 0 &&
+           *waiting >= 0;
+}
--- /dev/null
+++ b/src/strm.c
@@ -0,0 +1,261 @@
+/* strm - TCP connection with buffers, on an event loop.  See strm.h. */
+#include "strm.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "limits.h"
+
+#define READ_BYTES 16384
+#define LISTEN_BACKLOG 1024 /* a full queue drops the opening packet */
+
+static void
+want(Strm *s)
+{
+    uint32_t events = EPOLLRDHUP;
+
+    if (s->connecting || s->out->len > 0) {
+        events |= EPOLLOUT;
+    }
+    if (!s->paused && !s->ended) {
+        events |= EPOLLIN;
+    }
+    if (s->ended) {
+        events &= ~(uint32_t)EPOLLRDHUP;
+    }
+    if (events != s->events) {
+        s->events = events;
+        evl_mod(s->loop, &s->ev, events);
+    }
+}
+
+static void
+on_writable(Strm *s)
+{
+    if (s->connecting) {
+        int err = 0;
+        socklen_t n = sizeof(err);
+        getsockopt(s->ev.fd, SOL_SOCKET, SO_ERROR, &err, &n);
+        if (err != 0) {
+            s->fn(s->ctx, STRM_FAILED);
+            return;
+        }
+        s->connecting = false;
+        want(s);
+        s->fn(s->ctx, STRM_CONNECTED);
+        return;
+    }
+    if (s->out->len == 0) {
+        want(s);
+        return;
+    }
+    ssize_t n = send(s->ev.fd, s->out->data, s->out->len, MSG_NOSIGNAL);
+    if (n < 0) {
+        if (errno != EAGAIN && errno != EINTR) {
+            s->fn(s->ctx, STRM_FAILED);
+        }
+        return;
+    }
+    g_byte_array_remove_range(s->out, 0, (guint)n);
+    if (s->out->len == 0) {
+        want(s);
+        s->fn(s->ctx, STRM_FLUSHED);
+    }
+}
+
+static void
+on_readable(Strm *s)
+{
+    uint8_t buf[READ_BYTES];
+    ssize_t n = recv(s->ev.fd, buf, sizeof(buf), 0);
+
+    if (n < 0) {
+        if (errno != EAGAIN && errno != EINTR) {
+            s->fn(s->ctx, STRM_FAILED);
+        }
+        return;
+    }
+    if (n == 0) {
+        s->ended = true;
+        want(s);
+        s->fn(s->ctx, STRM_EOF);
+        return;
+    }
+    g_byte_array_append(s->in, buf, (guint)n);
+    s->fn(s->ctx, STRM_READABLE);
+}
+
+static void
+on_events(void *ctx, uint32_t events)
+{
+    Strm *s = ctx;
+
+    if (s->connecting && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0) {
+        on_writable(s);
+        return;
+    }
+    if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP)) != 0 && !s->paused &&
+        !s->ended) {
+        on_readable(s);
+    }
+    if (s->open && (events & EPOLLERR) != 0) {
+        s->fn(s->ctx, STRM_FAILED);
+        return;
+    }
+    if (s->open && (events & EPOLLHUP) != 0 && s->ended) {
+        s->fn(s->ctx, STRM_FAILED);
+        return;
+    }
+    /* While reads are held back, the peer's end is the only sign that it
+     * left. */
+    if (s->open && s->paused && (events & (EPOLLRDHUP | EPOLLHUP)) != 0) {
+        s->ended = true;
+        want(s);
+        s->fn(s->ctx, STRM_EOF);
+    }
+    if (s->open && (events & EPOLLOUT) != 0) {
+        on_writable(s);
+    }
+}
+
+static void
+setup(Strm *s, Evl *l, int fd, StrmFn fn, void *ctx)
+{
+    int one = 1;
+
+    memset(s, 0, sizeof(*s));
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+    s->loop = l;
+    s->fn = fn;
+    s->ctx = ctx;
+    s->in = g_byte_array_new();
+    s->out = g_byte_array_new();
+    s->open = true;
+    s->ev = (EvlFd){.fd = fd, .fn = on_events, .ctx = s};
+}
+
+void
+strm_accept(Strm *s, Evl *l, int fd, StrmFn fn, void *ctx)
+{
+    setup(s, l, fd, fn, ctx);
+    s->events = EPOLLIN | EPOLLRDHUP;
+    evl_add(l, &s->ev, s->events);
+}
+
+bool
+strm_connect(Strm *s, Evl *l, const struct sockaddr_in *to, int unacked_ms,
+             StrmFn fn, void *ctx)
+{
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd < 0) {
+        return false;
+    }
+    if (unacked_ms > 0) {
+        unsigned ms = (unsigned)unacked_ms;
+        setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+    }
+    if (connect(fd, (const struct sockaddr *)to, sizeof(*to)) != 0 &&
+        errno != EINPROGRESS) {
+        close(fd);
+        return false;
+    }
+    setup(s, l, fd, fn, ctx);
+    s->connecting = true;
+    s->events = EPOLLOUT | EPOLLRDHUP;
+    evl_add(l, &s->ev, s->events);
+    return true;
+}
+
+void
+strm_write(Strm *s, const void *p, size_t n)
+{
+    size_t sent = 0;
+
+    if (!s->open) {
+        return;
+    }
+    if (!s->connecting && s->out->len == 0) {
+        ssize_t k = send(s->ev.fd, p, n, MSG_NOSIGNAL);
+        /* A failed write shows again as an event of the descriptor. */
+        sent = k > 0 ? (size_t)k : 0;
+    }
+    if (sent < n) {
+        g_byte_array_append(s->out, (const guint8 *)p + sent,
+                            (guint)(n - sent));
+        want(s);
+    }
+}
+
+void
+strm_pause(Strm *s, bool paused)
+{
+    if (s->open && s->paused != paused) {
+        s->paused = paused;
+        want(s);
+    }
+}
+
+void
+strm_close(Strm *s)
+{
+    if (!s->open) {
+        return;
+    }
+    s->open = false;
+    evl_del(s->loop, &s->ev);
+    close(s->ev.fd);
+    g_byte_array_unref(s->in);
+    g_byte_array_unref(s->out);
+    s->in = NULL;
+    s->out = NULL;
+}
+
+int
+strm_listen(const struct sockaddr_in *at, Err *e)
+{
+    int one = 1;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+    if (fd >= 0) {
+        setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+        if (bind(fd, (const struct sockaddr *)at, sizeof(*at)) == 0 &&
+            listen(fd, LISTEN_BACKLOG) == 0) {
+            return fd;
+        }
+    }
+    err_set(e, ERR_IO,
+            "listen on port %d: %s; free the port or change it in the "
+            "settings",
+            ntohs(at->sin_port), strerror(errno));
+    if (fd >= 0) {
+        close(fd);
+    }
+    return -1;
+}
+
+bool
+strm_addr(Str text, struct sockaddr_in *out)
+{
+    char buf[ADDR_BYTES];
+    uint64_t port;
+
+    memset(out, 0, sizeof(*out));
+    if (!str_copy(buf, sizeof(buf), text)) {
+        return false;
+    }
+    char *colon = strrchr(buf, ':');
+    if (colon == NULL || !str_u64(str_of(colon + 1), 65535, &port) ||
+        port == 0) {
+        return false;
+    }
+    *colon = '\0';
+    out->sin_family = AF_INET;
+    out->sin_port = htons((uint16_t)port);
+    return inet_pton(AF_INET, buf, &out->sin_addr) == 1;
+}
--- /dev/null
+++ b/src/ups.c
@@ -0,0 +1,337 @@
+/* ups - the upstreams that discovery reports.  See ups.h. */
+#include "ups.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "hash.h"
+
+/* Others' load from an answer counts fully for the first time and not at all
+ * after the second: several answers a second arrive from a busy target. */
+#define OTHERS_FRESH_US 500000
+#define OTHERS_STALE_US 2500000
+
+#define FAILS_WEIGHT 0.12      /* of one end in the moving average */
+#define FAILS_FADE_US 3e6      /* a failing target is tried again by then */
+#define SLOWNESS_WEIGHT 0.15   /* of one answer */
+#define SLOWNESS_FADE_US 4e6   /* disturbances last for seconds */
+#define SLOWNESS_RATIO_MAX 8.0 /* one answer may not dominate */
+
+struct UpsSet {
+    const Places *places;
+    int64_t gone_grace_us;
+    int64_t calm_us; /* from then on a missing entry is gone at once */
+    GHashTable *by_id;
+    GHashTable *by_service; /* service hash -> GPtrArray of Ups */
+    bool drained[ZONES_MAX];
+    int64_t returned_us[ZONES_MAX]; /* when its drain ended */
+};
+
+static void
+free_list(gpointer p)
+{
+    g_ptr_array_free(p, TRUE);
+}
+
+static void
+unref_entry(gpointer p)
+{
+    ups_unref(p);
+}
+
+UpsSet *
+ups_new(const Places *places, int64_t gone_grace_us)
+{
+    UpsSet *s = g_new0(UpsSet, 1);
+
+    s->places = places;
+    s->gone_grace_us = gone_grace_us;
+    s->by_id =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_entry);
+    s->by_service =
+        g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_list);
+    return s;
+}
+
+void
+ups_free(UpsSet *s)
+{
+    g_hash_table_destroy(s->by_service);
+    g_hash_table_destroy(s->by_id);
+    g_free(s);
+}
+
+Ups *
+ups_ref(Ups *u)
+{
+    u->refs++;
+    return u;
+}
+
+void
+ups_unref(Ups *u)
+{
+    if (--u->refs == 0) {
+        g_free(u->id);
+        g_free(u);
+    }
+}
+
+static Ups *
+find(const UpsSet *s, Str id)
+{
+    char *z = g_strndup(id.p, id.n);
+    Ups *u = g_hash_table_lookup(s->by_id, z);
+
+    g_free(z);
+    return u;
+}
+
+static void
+list_add(UpsSet *s, Ups *u)
+{
+    GPtrArray *list = g_hash_table_lookup(s->by_service, &u->service);
+
+    if (list == NULL) {
+        list = g_ptr_array_new();
+        g_hash_table_insert(s->by_service,
+                            g_memdup2(&u->service, sizeof(u->service)), list);
+    }
+    g_ptr_array_add(list, u);
+}
+
+static void
+list_remove(UpsSet *s, Ups *u)
+{
+    GPtrArray *list = g_hash_table_lookup(s->by_service, &u->service);
+
+    if (list != NULL) {
+        g_ptr_array_remove_fast(list, u);
+    }
+}
+
+static Ups *
+add(UpsSet *s, const UpsReport *r)
+{
+    Ups *u = g_new0(Ups, 1);
+
+    u->refs = 1;
+    u->id = g_strndup(r->id.p, r->id.n);
+    u->key = hash_str(r->id, 0);
+    u->service = hash_str(r->service, 0);
+    u->slowness = 1;
+    g_queue_init(&u->idle);
+    g_hash_table_insert(s->by_id, u->id, u);
+    list_add(s, u);
+    return u;
+}
+
+static void
+forget_observations(Ups *u)
+{
+    u->others = 0;
+    u->fails = 0;
+    u->slowness = 1;
+    u->used = false;
+    u->down_us = 0;
+}
+
+UpsChange
+ups_report(UpsSet *s, const UpsReport *r, int64_t now_us)
+{
+    UpsChange ch = UPS_SAME;
+    Ups *u = find(s, r->id);
+    int zone = places_zone(s->places, r->zone);
+
+    if (zone < 0) {
+        return UPS_UNUSABLE;
+    }
+    if (u == NULL) {
+        u = add(s, r);
+        ch = UPS_ADDED;
+    }
+    else if (u->boot_ms != r->boot_ms ||
+             u->addr.sin_addr.s_addr != r->addr.sin_addr.s_addr ||
+             u->addr.sin_port != r->addr.sin_port) {
+        forget_observations(u);
+        ch = UPS_RESTARTED;
+    }
+    else if (u->state == UPS_READY && r->draining) {
+        ch = UPS_LEAVING;
+    }
+    else if (u->state != UPS_READY && !r->draining) {
+        ch = UPS_BACK;
+    }
+    uint64_t service = hash_str(r->service, 0);
+    if (u->service != service) {
+        list_remove(s, u);
+        u->service = service;
+        list_add(s, u);
+    }
+    u->boot_ms = r->boot_ms;
+    u->zone = zone;
+    u->region = s->places->region_of[zone];
+    u->addr = r->addr;
+    u->slots = r->slots;
+    u->state = r->draining ? UPS_DRAINING : UPS_READY;
+    u->missing_us = 0;
+    u->report_us = now_us;
+    u->cold_until_us = now_us + r->warmup_left_us;
+    return ch;
+}
+
+void
+ups_missing(UpsSet *s, Str id, int64_t now_us)
+{
+    Ups *u = find(s, id);
+
+    if (u != NULL && u->state != UPS_GONE && u->missing_us == 0) {
+        u->missing_us = now_us;
+    }
+}
+
+void
+ups_store_trouble(UpsSet *s, int64_t now_us)
+{
+    s->calm_us = now_us + s->gone_grace_us;
+}
+
+int
+ups_expire(UpsSet *s, int64_t now_us)
+{
+    GHashTableIter it;
+    gpointer p;
+    int n = 0;
+
+    if (now_us < s->calm_us) {
+        return 0;
+    }
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        Ups *u = p;
+        if (u->missing_us == 0) {
+            continue;
+        }
+        u->state = UPS_GONE;
+        n++;
+        list_remove(s, u);
+        g_hash_table_iter_remove(&it);
+    }
+    return n;
+}
+
+void
+ups_each(UpsSet *s, void (*f)(void *ctx, Ups *u), void *ctx)
+{
+    GHashTableIter it;
+    gpointer p;
+
+    g_hash_table_iter_init(&it, s->by_id);
+    while (g_hash_table_iter_next(&it, NULL, &p)) {
+        f(ctx, p);
+    }
+}
+
+void
+ups_drain_zone(UpsSet *s, int zone, bool drained, int64_t now_us)
+{
+    if (s->drained[zone] && !drained) {
+        s->returned_us[zone] = now_us;
+    }
+    s->drained[zone] = drained;
+}
+
+bool
+ups_zone_drained(const UpsSet *s, int zone)
+{
+    return s->drained[zone];
+}
+
+const GPtrArray *
+ups_of_service(const UpsSet *s, uint64_t service)
+{
+    return g_hash_table_lookup(s->by_service, &service);
+}
+
+bool
+ups_usable(const UpsSet *s, const Ups *u)
+{
+    return u->state == UPS_READY && !s->drained[u->zone];
+}
+
+bool
+ups_cold(const UpsSet *s, const Ups *u, int64_t warmup_us, int64_t now_us)
+{
+    int64_t returned = s->returned_us[u->zone];
+
+    if (now_us < u->cold_until_us) {
+        return true;
+    }
+    /* A target that was away may be back with nothing in its caches; the
+     * next report tells. */
+    return (returned > u->report_us && now_us < returned + warmup_us) ||
+           (u->down_us > u->report_us && now_us < u->down_us + warmup_us);
+}
+
+double
+ups_load(const Ups *u, int64_t now_us)
+{
+    int64_t age = now_us - u->others_at_us;
+    double part = 1;
+
+    if (age >= OTHERS_STALE_US) {
+        part = 0;
+    }
+    else if (age > OTHERS_FRESH_US) {
+        part = (double)(OTHERS_STALE_US - age) /
+               (double)(OTHERS_STALE_US - OTHERS_FRESH_US);
+    }
+    return u->inflight + u->others * part;
+}
+
+double
+ups_fails(const Ups *u, int64_t now_us)
+{
+    return u->fails * exp2(-(double)(now_us - u->fails_at_us) / FAILS_FADE_US);
+}
+
+double
+ups_slowness(const Ups *u, int64_t now_us)
+{
+    double fade =
+        exp2(-(double)(now_us - u->slowness_at_us) / SLOWNESS_FADE_US);
+
+    return 1 + (u->slowness - 1) * fade;
+}
+
+void
+ups_saw_load(Ups *u, int running, int waiting, int64_t now_us)
+{
+    u->others = MAX(0, running + waiting - u->inflight);
+    u->others_at_us = now_us;
+}
+
+void
+ups_saw_end(Ups *u, bool ok, int64_t now_us)
+{
+    double f = ups_fails(u, now_us);
+
+    u->fails = f + FAILS_WEIGHT * ((ok ? 0 : 1) - f);
+    u->fails_at_us = now_us;
+}
+
+void
+ups_saw_time(Ups *u, double ratio, int64_t now_us)
+{
+    double s = ups_slowness(u, now_us);
+
+    ratio = MIN(ratio, SLOWNESS_RATIO_MAX);
+    u->slowness = s + SLOWNESS_WEIGHT * (ratio - s);
+    u->slowness_at_us = now_us;
+}
+
+void
+ups_saw_down(Ups *u, int64_t now_us)
+{
+    u->down_us = now_us;
+}
--- /dev/null
+++ b/src/ups.h
@@ -0,0 +1,127 @@
+/*
+ * ups - the upstreams that discovery reports, and what is known of each.
+ *
+ * Discovery says who exists, drains or is gone; answers say how loaded, how
+ * fast and how sound an upstream is.  Pure: no sockets, no clock.
+ */
+#ifndef MIMOSA_UPS_H
+#define MIMOSA_UPS_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "bucket.h"
+#include "places.h"
+#include "rt.h"
+#include "str.h"
+
+typedef enum UpsState { UPS_READY, UPS_DRAINING, UPS_GONE } UpsState;
+
+/* One report of discovery. */
+typedef struct UpsReport {
+    Str id;
+    Str service;
+    Str zone;
+    struct sockaddr_in addr;
+    int slots;
+    bool draining;
+    int64_t warmup_left_us; /* how long it stays slow after its start */
+    uint64_t boot_ms;       /* wall time of its start; 0: not told */
+} UpsReport;
+
+typedef struct Ups {
+    int refs;
+    char *id;
+    uint64_t key;     /* hash of the id */
+    uint64_t service; /* hash of the service's name */
+    uint64_t boot_ms;
+    int zone;
+    int region;
+    struct sockaddr_in addr;
+    int slots;
+    UpsState state;
+    int64_t missing_us; /* since when discovery lacks it; 0: it does not */
+    int64_t report_us;  /* when the last report arrived */
+    int64_t cold_until_us;
+    int64_t down_us; /* last time a connection could not be made */
+    Bucket cold;     /* this VM's share of requests while it is cold */
+
+    int inflight;         /* requests of this VM */
+    double others;        /* requests of other VMs, from the last answer */
+    int64_t others_at_us; /* when that answer came */
+    double fails;         /* share of failures, moving average */
+    int64_t fails_at_us;
+    double slowness; /* service time over the service's usual one */
+    int64_t slowness_at_us;
+
+    bool used; /* this VM has sent it a request since its start */
+    GQueue idle;
+    int n_conns;
+} Ups;
+
+typedef struct UpsSet UpsSet;
+
+/* places is borrowed.  gone_grace_us: how long an entry that vanished around
+ * a disturbance of the store is still used. */
+UpsSet *ups_new(const Places *places, int64_t gone_grace_us);
+void ups_free(UpsSet *s);
+
+Ups *ups_ref(Ups *u);
+void ups_unref(Ups *u);
+
+/* What a report changed. */
+typedef enum UpsChange {
+    UPS_SAME,
+    UPS_ADDED,
+    UPS_RESTARTED, /* the same id, another start: its connections are void */
+    UPS_LEAVING,
+    UPS_BACK,
+    UPS_UNUSABLE /* the report names a zone that is not known */
+} UpsChange;
+
+UpsChange ups_report(UpsSet *s, const UpsReport *r, int64_t now_us);
+
+/* Discovery lacks this id.  Around a disturbance of the store the entry may
+ * come back; it is kept for the grace. */
+void ups_missing(UpsSet *s, Str id, int64_t now_us);
+
+/* A call to the store failed. */
+void ups_store_trouble(UpsSet *s, int64_t now_us);
+
+/* Marks as gone what is missing for too long; returns how many. */
+int ups_expire(UpsSet *s, int64_t now_us);
+
+/* Calls f for each id; used to find entries that a list lacks. */
+void ups_each(UpsSet *s, void (*f)(void *ctx, Ups *u), void *ctx);
+
+void ups_drain_zone(UpsSet *s, int zone, bool drained, int64_t now_us);
+bool ups_zone_drained(const UpsSet *s, int zone);
+
+/* All entries of a service, gone ones included; NULL: none. */
+const GPtrArray *ups_of_service(const UpsSet *s, uint64_t service);
+
+/* True when new work may go there. */
+bool ups_usable(const UpsSet *s, const Ups *u);
+
+/* True while the upstream may be cold: as it says, or because it may have
+ * started again since its last report. */
+bool ups_cold(const UpsSet *s, const Ups *u, int64_t warmup_us,
+              int64_t now_us);
+
+/* Requests there, of all VMs, as far as this VM knows. */
+double ups_load(const Ups *u, int64_t now_us);
+
+/* Share of failures and slowness, faded by their age. */
+double ups_fails(const Ups *u, int64_t now_us);
+double ups_slowness(const Ups *u, int64_t now_us);
+
+/* Observations of this VM. */
+void ups_saw_load(Ups *u, int running, int waiting, int64_t now_us);
+void ups_saw_end(Ups *u, bool ok, int64_t now_us);
+void ups_saw_time(Ups *u, double ratio, int64_t now_us);
+void ups_saw_down(Ups *u, int64_t now_us);
+
+#endif
--- /dev/null
+++ b/src/vml.c
@@ -0,0 +1,183 @@
+/* vml - the entry VMs that exist.  See vml.h. */
+#include "vml.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "hash.h"
+#include "strm.h"
+
+/* A VM that was heard and is silent that long is taken for dead; heartbeats
+ * come several times in it. */
+#define SILENT_US 2500000
+#define ADDRESSES_WANTED 2
+
+struct Vml {
+    const Places *places;
+    GArray *vms; /* Vm, in the order of their ids */
+};
+
+Vml *
+vml_new(const Places *places)
+{
+    Vml *l = g_new0(Vml, 1);
+
+    l->places = places;
+    l->vms = g_array_new(FALSE, TRUE, sizeof(Vm));
+    return l;
+}
+
+void
+vml_free(Vml *l)
+{
+    g_array_free(l->vms, TRUE);
+    g_free(l);
+}
+
+void
+vml_write(const Vm *v, const Places *p, char *out, size_t cap)
+{
+    char ip[INET_ADDRSTRLEN];
+
+    inet_ntop(AF_INET, &v->peer.sin_addr, ip, sizeof(ip));
+    snprintf(out, cap, "entry=%s peer=%s:%d zone=%s leaving=%d boot=%llu",
+             v->entry, ip, ntohs(v->peer.sin_port), p->zones[v->zone],
+             v->leaving ? 1 : 0, (unsigned long long)v->boot_ms);
+}
+
+bool
+vml_read(Vm *v, Str id, Str text, const Places *p, Err *e)
+{
+    char buf[VML_RECORD_BYTES];
+    char peer[ADDR_BYTES];
+    char zone[NAME_BYTES];
+    int leaving;
+    unsigned long long boot;
+    struct sockaddr_in entry;
+
+    memset(v, 0, sizeof(*v));
+    if (!str_copy(v->id, sizeof(v->id), id) ||
+        !str_copy(buf, sizeof(buf), text) ||
+        sscanf(buf, "entry=%63s peer=%63s zone=%63s leaving=%d boot=%llu",
+               v->entry, peer, zone, &leaving, &boot) != 5) {
+        return err_set(e, ERR_SYNTAX,
+                       "VM record: not \"entry= peer= zone= leaving= boot=\"; "
+                       "delete the key, its VM writes it again");
+    }
+    v->zone = places_zone(p, str_of(zone));
+    if (v->zone < 0 || !strm_addr(str_of(peer), &v->peer) ||
+        !strm_addr(str_of(v->entry), &entry)) {
+        return err_set(e, ERR_SYNTAX,
+                       "VM record: unknown zone \"%s\" or bad address; "
+                       "delete the key, its VM writes it again",
+                       zone);
+    }
+    v->key = hash_str(id, 0);
+    v->region = p->region_of[v->zone];
+    v->leaving = leaving != 0;
+    v->boot_ms = boot;
+    return true;
+}
+
+int
+vml_count(const Vml *l)
+{
+    return (int)l->vms->len;
+}
+
+const Vm *
+vml_at(const Vml *l, int i)
+{
+    return &g_array_index(l->vms, Vm, i);
+}
+
+int
+vml_index(const Vml *l, const char *id)
+{
+    for (int i = 0; i < vml_count(l); i++) {
+        if (strcmp(vml_at(l, i)->id, id) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+Vm *
+vml_find(Vml *l, Str id)
+{
+    for (guint i = 0; i < l->vms->len; i++) {
+        Vm *v = &g_array_index(l->vms, Vm, i);
+        if (str_eqz(id, v->id)) {
+            return v;
+        }
+    }
+    return NULL;
+}
+
+void
+vml_put(Vml *l, const Vm *v)
+{
+    Vm *old = vml_find(l, str_of(v->id));
+    guint i = 0;
+
+    if (old != NULL) {
+        int64_t heard = old->boot_ms == v->boot_ms ? old->heard_us : 0;
+        *old = *v;
+        old->heard_us = heard;
+        return;
+    }
+    while (i < l->vms->len &&
+           strcmp(g_array_index(l->vms, Vm, i).id, v->id) < 0) {
+        i++;
+    }
+    g_array_insert_val(l->vms, i, *v);
+}
+
+void
+vml_remove(Vml *l, Str id)
+{
+    for (guint i = 0; i < l->vms->len; i++) {
+        if (str_eqz(id, g_array_index(l->vms, Vm, i).id)) {
+            g_array_remove_index(l->vms, i);
+            return;
+        }
+    }
+}
+
+static bool
+is_sound(const Vm *v, int64_t now_us)
+{
+    return !v->leaving &&
+           (v->heard_us == 0 || now_us - v->heard_us < SILENT_US);
+}
+
+/* Nearness: 0 same zone, 1 same region, 2 elsewhere. */
+static int
+distance(const Vm *v, int zone, int region)
+{
+    if (v->zone == zone) {
+        return 0;
+    }
+    return v->region == region ? 1 : 2;
+}
+
+int
+vml_resolve(const Vml *l, int zone, int region, const char **out, int max,
+            int64_t now_us)
+{
+    int n = 0;
+
+    for (int pass = 0; pass < 2 && n == 0; pass++) {
+        for (int d = 0; d <= 2 && n < ADDRESSES_WANTED; d++) {
+            for (int i = 0; i < vml_count(l) && n < max; i++) {
+                const Vm *v = vml_at(l, i);
+                if (distance(v, zone, region) == d &&
+                    (pass == 1 || is_sound(v, now_us))) {
+                    out[n++] = v->entry;
+                }
+            }
+        }
+    }
+    return n;
+}
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -9,8 +9,8 @@
 echo "lint: clang-format"
 # shellcheck disable=SC2086
 clang-format --dry-run -Werror $files
-flags="-std=gnu11 -iquote src -iquote src/gen -iquote tests -iquote bench
-    -iquote standins
+flags="-std=gnu11 -D_GNU_SOURCE -iquote src -iquote src/gen -iquote tests -iquote bench
+    -iquote standins -iquote platform
     $(pkg-config --cflags glib-2.0 gio-2.0 gio-unix-2.0 libsoup-3.0 libtirpc \
     log4c json-glib-1.0 libxxhash libzstd check)"
 echo "lint: clang-tidy"
