Give each object one upstream, for all regions where they are near

Cause: with three candidates an object and a place in each region, most work ran on upstreams that had not seen the object and took three times as long. Change: one candidate; heartbeats measure round trips, and regions closer than a third of the latency target share the place of an object.

--- a/src/edge.c
+++ b/src/edge.c
@@ -284,7 +284,11 @@
         dlog_event(g->log, DLOG_INFO, "vm", "id=%s event=heartbeat leaving=%d",
                    v->id, b->leaving ? 1 : 0);
     }
+    if (b->echo_us > 0 && now_us - b->echo_us - b->held_us > 0) {
+        vml_saw_rtt(v, now_us - b->echo_us - b->held_us);
+    }
     v->heard_us = now_us;
+    v->sent_us = b->sent_us;
     v->leaving = b->leaving;
     v->boot_ms = b->boot_ms;
     for (int i = 0; i < b->n_needs; i++) {
@@ -311,10 +315,13 @@
 
     g_strlcpy(b.vm, g->set.vm_id, sizeof(b.vm));
     demand_each(g->demand, add_need, &b);
-    size_t n = peer_encode(&b, buf, sizeof(buf));
+    b.sent_us = evl_now(g->loop);
     for (int i = 0; i < vml_count(g->vms); i++) {
         const Vm *v = vml_at(g->vms, i);
         if (strcmp(v->id, g->set.vm_id) != 0) {
+            b.echo_us = v->sent_us;
+            b.held_us = b.sent_us - v->heard_us;
+            size_t n = peer_encode(&b, buf, sizeof(buf));
             peer_send(g->peer, &v->peer, buf, n);
         }
     }
@@ -399,6 +406,7 @@
     if (gone > 0) {
         dlog_event(g->log, DLOG_INFO, "upstream", "event=gone count=%d", gone);
     }
+    px_set_reach(g->px, vml_reach_us(g->vms));
     demand_step(g->demand, g->upstreams, by_region, now_us);
     send_beats(g);
     look_for_suspension(g, now_us);
--- a/src/peer.c
+++ b/src/peer.c
@@ -42,16 +42,21 @@
     char *name = b->vm;
     u_quad_t boot = b->boot_ms;
     bool_t leaving = b->leaving ? TRUE : FALSE;
+    int64_t times[] = {b->sent_us, b->echo_us, b->held_us};
     int n = b->n_needs;
 
     if (!xdr_u_int(x, &magic) || magic != MAGIC ||
         !xdr_string(x, &name, NAME_BYTES - 1) || !xdr_u_int64_t(x, &boot) ||
-        !xdr_bool(x, &leaving) || !xdr_int(x, &n) || n < 0 ||
-        n > PEER_SERVICES_MAX) {
+        !xdr_bool(x, &leaving) || !xdr_int64_t(x, &times[0]) ||
+        !xdr_int64_t(x, &times[1]) || !xdr_int64_t(x, &times[2]) ||
+        !xdr_int(x, &n) || n < 0 || n > PEER_SERVICES_MAX) {
         return FALSE;
     }
     b->boot_ms = boot;
     b->leaving = leaving != FALSE;
+    b->sent_us = times[0];
+    b->echo_us = times[1];
+    b->held_us = times[2];
     b->n_needs = n;
     for (int i = 0; i < n; i++) {
         if (!xdr_need(x, &b->needs[i])) {
--- a/src/peer.h
+++ b/src/peer.h
@@ -28,6 +28,10 @@
     char vm[NAME_BYTES];
     uint64_t boot_ms;
     bool leaving;
+    int64_t sent_us; /* steady time of the sender */
+    int64_t echo_us; /* sent_us of the last heartbeat from the receiver; 0:
+                        none */
+    int64_t held_us; /* since that one came */
     int n_needs;
     PeerNeed needs[PEER_SERVICES_MAX];
 } PeerBeat;
--- a/src/pick.c
+++ b/src/pick.c
@@ -5,16 +5,20 @@
 
 #include "hash.h"
 
-#define CANDIDATES 3 /* upstreams that may know one object, per region */
+#define CANDIDATES 1
 
 /* What a later candidate costs, in parts of its slots: the first one is used
  * until it is that much fuller. */
-static const double rank_cost[CANDIDATES] = {0, 0.35, 0.5};
+static const double rank_cost[3] = {0, 0.35, 0.5};
 
 /* Load over the slots up to which a rank is let in; the upstream queues what
  * is over 1.  Less urgent work leaves room for more urgent work. */
 static const double fill_limit[RANKS_MAX] = {1.9, 1.6, 1.25, 1.0};
 
+/* Regions are near when a round trip takes less than this part of the latency
+ * target; a wait and the work itself must fit into the rest. */
+#define NEAR_PART 0.33
+
 #define FAILS_COST 3.0       /* a failing upstream against a full one */
 #define SLOW_FROM 1.6        /* slowness that starts to count */
 #define SLOW_COST 0.6        /* per unit of slowness beyond that */
@@ -175,14 +179,17 @@
     int at = 0;
     bool away = false;
 
-    if (in->split != NULL && in->split->n > 0) {
+    if (in->reach_us < in->route->target_us * NEAR_PART) {
+        region = -1;
+    }
+    else if (in->split != NULL && in->split->n > 0) {
         /* Another hash than that of the upstreams, so that the objects of a
          * region spread over all of its upstreams. */
         double unit = hash_unit(hash_mix(in->object, in->service->id));
         region = split_region(in->split, in->region, unit);
     }
     int n = candidates(in, region, c, now_us);
-    if (n == 0) {
+    if (n == 0 && region >= 0) {
         away = true;
         n = candidates(in, -1, c, now_us);
     }
--- a/src/pick.h
+++ b/src/pick.h
@@ -5,8 +5,12 @@
  * that saw an object lately serves it in a fraction of the time, and it
  * remembers a bounded number of objects.  Each object therefore has few
  * candidates, by rendezvous hashing; spilling to any upstream with room would
- * make all of them cold for all objects.  Among the candidates the load
- * decides.  Pure.
+ * make all of them cold for all objects.
+ *
+ * Where the way between regions is short against the latency target, an
+ * object has one place for the callers of all regions: fewer upstreams have
+ * to learn it, and all regions share the load.  Where it is long, each region
+ * has its own place for it, in the region that the split names.  Pure.
  */
 #ifndef MIMOSA_PICK_H
 #define MIMOSA_PICK_H
@@ -43,8 +47,9 @@
     int region;      /* of the caller's entry VM */
     const PickVm *vms;
     int n_vms;
-    int self;     /* index in vms */
-    int cold_vms; /* how many VMs may use one cold upstream */
+    int self;         /* index in vms */
+    int cold_vms;     /* how many VMs may use one cold upstream */
+    int64_t reach_us; /* longest round trip between regions */
     const Ups *tried[PICK_TRIED_MAX];
     int n_tried;
 } PickIn;
--- a/src/px.c
+++ b/src/px.c
@@ -72,6 +72,7 @@
     const PickVm *vms;
     int n_vms;
     int self;
+    int64_t reach_us;
     GQueue held;
     EvlTimer hold_timer;
     int64_t counts[PX_COUNTS];
@@ -224,6 +225,7 @@
         .n_vms = p->n_vms,
         .self = p->self,
         .cold_vms = COLD_VMS,
+        .reach_us = p->reach_us,
         .n_tried = r->n_tried,
     };
 
@@ -662,6 +664,12 @@
     p->self = self;
 }
 
+void
+px_set_reach(Px *p, int64_t reach_us)
+{
+    p->reach_us = reach_us;
+}
+
 void
 px_metrics(const Px *p, GString *out)
 {
--- a/src/px.h
+++ b/src/px.h
@@ -43,6 +43,9 @@
 /* VMs that share limits; borrowed until the next call. */
 void px_set_vms(Px *p, const PickVm *vms, int n, int self);
 
+/* Longest round trip between regions; 0: not known. */
+void px_set_reach(Px *p, int64_t reach_us);
+
 /* Functions for callers_new(), with the Px as context. */
 extern const CallerFns px_caller_fns;
 
--- a/src/vml.c
+++ b/src/vml.c
@@ -12,6 +12,7 @@
  * come several times in it. */
 #define SILENT_US 2500000
 #define ADDRESSES_WANTED 2
+#define RTT_RISE 64 /* heartbeats that a longer way takes to show */
 
 struct Vml {
     const Places *places;
@@ -122,9 +123,13 @@
     guint i = 0;
 
     if (old != NULL) {
-        int64_t heard = old->boot_ms == v->boot_ms ? old->heard_us : 0;
+        Vm was = *old;
         *old = *v;
-        old->heard_us = heard;
+        old->rtt_us = was.rtt_us;
+        if (was.boot_ms == v->boot_ms) {
+            old->heard_us = was.heard_us;
+            old->sent_us = was.sent_us;
+        }
         return;
     }
     while (i < l->vms->len &&
@@ -145,6 +150,36 @@
     }
 }
 
+void
+vml_saw_rtt(Vm *v, int64_t us)
+{
+    if (v->rtt_us == 0 || us < v->rtt_us) {
+        v->rtt_us = MAX(us, 1);
+    }
+    else {
+        v->rtt_us += (us - v->rtt_us) / RTT_RISE;
+    }
+}
+
+int64_t
+vml_reach_us(const Vml *l)
+{
+    int64_t near[REGIONS_MAX] = {0};
+    int64_t far = 0;
+
+    for (int i = 0; i < vml_count(l); i++) {
+        const Vm *v = vml_at(l, i);
+        if (v->rtt_us > 0 &&
+            (near[v->region] == 0 || v->rtt_us < near[v->region])) {
+            near[v->region] = v->rtt_us;
+        }
+    }
+    for (int r = 0; r < l->places->n_regions; r++) {
+        far = MAX(far, near[r]);
+    }
+    return far;
+}
+
 static bool
 is_sound(const Vm *v, int64_t now_us)
 {
--- a/src/vml.h
+++ b/src/vml.h
@@ -30,6 +30,8 @@
     bool leaving;
     uint64_t boot_ms;
     int64_t heard_us; /* last heartbeat; 0: none */
+    int64_t sent_us;  /* what it said of its clock then */
+    int64_t rtt_us;   /* round trip to it; 0: not known */
 } Vm;
 
 typedef struct Vml Vml;
@@ -48,6 +50,13 @@
 int vml_count(const Vml *l);
 const Vm *vml_at(const Vml *l, int i);
 
+/* Takes a measured round trip; queues and retransmissions only add to the
+ * true one, so that low values count at once and high ones slowly. */
+void vml_saw_rtt(Vm *v, int64_t us);
+
+/* Longest round trip to any region, by its nearest VM; 0: not known. */
+int64_t vml_reach_us(const Vml *l);
+
 /* Index of the VM with that id, or -1. */
 int vml_index(const Vml *l, const char *id);
 
