Plan the places of objects with bounded loads

Change: plan places objects by consistent hashing with bounded loads; VMs tell each other new objects by heartbeats, so that all plan the same.

--- a/src/edge.c
+++ b/src/edge.c
@@ -50,6 +50,7 @@
     UpsSet *upstreams;
     UconnPool *pool;
     Demand *demand;
+    Plan *plan;
     Vml *vms;
     GArray *shares; /* PickVm of vms */
     Peer *peer;
@@ -295,6 +296,11 @@
         demand_heard(g->demand, v->key, v->region, b->needs[i].service,
                      b->needs[i].slots, now_us);
     }
+    for (int i = 0; i < b->n_objects; i++) {
+        const PeerObject *o = &b->objects[i];
+        plan_learn(g->plan, b->needs[o->need].service, o->object, o->weight,
+                   false, now_us);
+    }
 }
 
 static void
@@ -307,6 +313,22 @@
     }
 }
 
+static void
+add_objects(Edge *g, PeerBeat *b)
+{
+    PlanObject list[PEER_OBJECTS_MAX];
+    int n = plan_news(g->plan, list, PEER_OBJECTS_MAX);
+
+    for (int i = 0; i < n; i++) {
+        for (int k = 0; k < b->n_needs; k++) {
+            if (b->needs[k].service == list[i].service) {
+                b->objects[b->n_objects++] =
+                    (PeerObject){k, list[i].object, list[i].weight};
+            }
+        }
+    }
+}
+
 static void
 send_beats(Edge *g)
 {
@@ -315,6 +337,7 @@
 
     g_strlcpy(b.vm, g->set.vm_id, sizeof(b.vm));
     demand_each(g->demand, add_need, &b);
+    add_objects(g, &b);
     b.sent_us = evl_now(g->loop);
     for (int i = 0; i < vml_count(g->vms); i++) {
         const Vm *v = vml_at(g->vms, i);
@@ -408,6 +431,7 @@
     }
     px_set_reach(g->px, vml_reach_us(g->vms));
     demand_step(g->demand, g->upstreams, by_region, now_us);
+    plan_step(g->plan, g->upstreams, now_us);
     send_beats(g);
     look_for_suspension(g, now_us);
     if (now_us - g->look_us >= LOOK_US) {
@@ -575,6 +599,7 @@
         .retry_window_us = g->set.retry_window_us,
     };
     g->demand = demand_new(&dopt);
+    g->plan = plan_new(pl->n_regions);
     PxOpts po = {
         .loop = g->loop,
         .log = g->log,
@@ -584,6 +609,7 @@
         .upstreams = g->upstreams,
         .pool = g->pool,
         .demand = g->demand,
+        .plan = g->plan,
         .rnd = g->rnd,
     };
     g->px = px_new(&po);
@@ -651,6 +677,7 @@
     callers_free(g->callers);
     px_free(g->px);
     uconns_free(g->pool);
+    plan_free(g->plan);
     demand_free(g->demand);
     ups_free(g->upstreams);
     g_array_free(g->shares, TRUE);
--- a/src/peer.c
+++ b/src/peer.c
@@ -35,6 +35,21 @@
     return TRUE;
 }
 
+static bool_t
+xdr_object(XDR *x, PeerObject *o, int n_needs)
+{
+    u_quad_t id = o->object;
+    u_int milli = (u_int)(o->weight * NEED_SCALE);
+    int need = o->need;
+
+    if (!xdr_int(x, &need) || need < 0 || need >= n_needs ||
+        !xdr_u_int64_t(x, &id) || !xdr_u_int(x, &milli)) {
+        return FALSE;
+    }
+    *o = (PeerObject){need, id, milli / NEED_SCALE};
+    return TRUE;
+}
+
 static bool_t
 xdr_beat(XDR *x, PeerBeat *b)
 {
@@ -63,6 +78,16 @@
             return FALSE;
         }
     }
+    n = b->n_objects;
+    if (!xdr_int(x, &n) || n < 0 || n > PEER_OBJECTS_MAX) {
+        return FALSE;
+    }
+    b->n_objects = n;
+    for (int i = 0; i < n; i++) {
+        if (!xdr_object(x, &b->objects[i], b->n_needs)) {
+            return FALSE;
+        }
+    }
     return TRUE;
 }
 
--- a/src/peer.h
+++ b/src/peer.h
@@ -17,6 +17,7 @@
 #include "limits.h"
 
 #define PEER_SERVICES_MAX 32
+#define PEER_OBJECTS_MAX 36
 #define PEER_BYTES_MAX 1200 /* fits one packet on common links */
 
 typedef struct PeerNeed {
@@ -24,6 +25,12 @@
     double slots;
 } PeerNeed;
 
+typedef struct PeerObject {
+    int need; /* index of its service in needs */
+    uint64_t object;
+    double weight;
+} PeerObject;
+
 typedef struct PeerBeat {
     char vm[NAME_BYTES];
     uint64_t boot_ms;
@@ -34,6 +41,8 @@
     int64_t held_us; /* since that one came */
     int n_needs;
     PeerNeed needs[PEER_SERVICES_MAX];
+    int n_objects;
+    PeerObject objects[PEER_OBJECTS_MAX];
 } PeerBeat;
 
 /* Returns the length, or 0 when cap is too small. */
--- a/src/pick.c
+++ b/src/pick.c
@@ -135,6 +135,23 @@
     return n;
 }
 
+/* The plan's upstream takes the place of the first candidate. */
+static int
+put_owner_first(const PickIn *in, int region, Candidate *c, int n,
+                int64_t now_us)
+{
+    Ups *u = in->plan == NULL
+                 ? NULL
+                 : plan_owner(in->plan, in->service->id, region, in->object);
+
+    if (u == NULL || u->service != in->service->id ||
+        !may_use(in, u, now_us)) {
+        return n;
+    }
+    c[0] = (Candidate){u, 0};
+    return MAX(n, 1);
+}
+
 static double
 cost(const Ups *u, int rank, int64_t now_us)
 {
@@ -193,6 +210,9 @@
         away = true;
         n = candidates(in, -1, c, now_us);
     }
+    if (!away) {
+        n = put_owner_first(in, region, c, n, now_us);
+    }
     if (n == 0) {
         *why = PICK_NONE;
         return NULL;
--- a/src/pick.h
+++ b/src/pick.h
@@ -17,6 +17,7 @@
 
 #include <stdint.h>
 
+#include "plan.h"
 #include "rt.h"
 #include "split.h"
 #include "ups.h"
@@ -40,6 +41,7 @@
 typedef struct PickIn {
     const UpsSet *set;
     const Places *places;
+    const Plan *plan;   /* NULL: rendezvous hashing alone */
     const Split *split; /* NULL: own region while it can */
     const RtRoute *route;
     const RtService *service;
--- /dev/null
+++ b/src/plan.h
@@ -0,0 +1,55 @@
+/*
+ * plan - which upstream serves which object.
+ *
+ * Load it answers: sticky work on upstreams with few slots.  Rendezvous
+ * hashing alone gives some upstreams several times the work of others, and
+ * requests are refused while slots are free elsewhere.  The plan is
+ * consistent hashing with bounded loads (Mirrokni, Thorup, Zadimoghaddam
+ * 2016) over rendezvous ranks: an object goes to the best of its upstreams
+ * that is not yet full.  It is a function of the known objects and upstreams
+ * only, so that VMs which know the same plan the same.  Pure.
+ *
+ * A scope is a set of upstreams that share the objects of a service: those of
+ * one region, or all of them.
+ */
+#ifndef MIMOSA_PLAN_H
+#define MIMOSA_PLAN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ups.h"
+
+#define PLAN_ALL_REGIONS (-1)
+/* Objects of one service; with more of them hashing alone spreads evenly. */
+#define PLAN_OBJECTS_MAX 2048
+
+typedef struct Plan Plan;
+
+Plan *plan_new(int n_regions);
+void plan_free(Plan *p);
+
+/* Learns an object.  weight: slots that it needs.  own: this VM's callers
+ * asked for it, so that the other VMs are to be told.  Returns true when it
+ * was not known. */
+bool plan_learn(Plan *p, uint64_t service, uint64_t object, double weight,
+                bool own, int64_t now_us);
+
+/* Plans again what has changed, at most once per PLAN_STEP_US. */
+#define PLAN_STEP_US 250000
+void plan_step(Plan *p, const UpsSet *set, int64_t now_us);
+
+/* The object's upstream, or NULL when it is not known. */
+Ups *plan_owner(const Plan *p, uint64_t service, int scope, uint64_t object);
+
+typedef struct PlanObject {
+    uint64_t service;
+    uint64_t object;
+    double weight;
+} PlanObject;
+
+/* Objects to tell the other VMs: new ones of this VM, and a few known ones in
+ * turn for VMs that started since.  Returns the count. */
+int plan_news(Plan *p, PlanObject *out, int max);
+
+#endif
--- a/src/px.c
+++ b/src/px.c
@@ -216,6 +216,7 @@
     PickIn in = {
         .set = p->o.upstreams,
         .places = p->o.places,
+        .plan = p->o.plan,
         .split = &r->demand->split,
         .route = r->route,
         .service = r->service,
@@ -551,6 +552,9 @@
     r->end_us = now_us + time_left_us(p, head, route);
     r->timer = (EvlTimer){.fn = on_timer, .ctx = r};
     caller_set_user(c, r);
+    if (route->sticky && object.n > 0) {
+        plan_learn(p->o.plan, r->service->id, r->object, 1, true, now_us);
+    }
     demand_arrived(p->o.demand, r->demand, p->n_vms);
     dispatch(r, now_us);
 }
--- a/src/px.h
+++ b/src/px.h
@@ -30,6 +30,7 @@
     UpsSet *upstreams;
     UconnPool *pool;
     Demand *demand;
+    Plan *plan;
     GRand *rnd;
 } PxOpts;
 
