Wait 150 ms past a route's time for an answer that is under way

Cause: work that takes 1,160 ms cold on a route of 1,200 ms got 504 a few milliseconds before its answer came, though it had run. Change: the caller is answered 504 only after a grace, within its own time.

--- a/src/px.c
+++ b/src/px.c
@@ -20,6 +20,9 @@
 #define RETRY_NO_ROUTES_US 500000 /* the first configuration is on its way */
 /* An answer may take this long on its way back to the caller's side. */
 #define ANSWER_MARGIN_US 5000
+/* An answer that is nearly there when the time is over is still waited for;
+ * after a quarter of a second the platform counts the request as held. */
+#define ANSWER_GRACE_US 150000
 #define COLD_VMS 4 /* VMs that use one cold upstream */
 
 typedef enum ReqState { REQ_HELD, REQ_SENT, REQ_STREAMING } ReqState;
@@ -36,7 +39,8 @@
     Str attempt;
     uint64_t object;
     int64_t begin_us;
-    int64_t end_us; /* the caller leaves, or the route's time is over */
+    int64_t end_us;  /* the caller leaves, or the route's time is over */
+    int64_t last_us; /* the same with the grace for an answer */
     int64_t sent_us;
     Ups *u;
     Uconn *conn;
@@ -417,9 +421,11 @@
 {
     Req *r = ctx;
 
+    bool sent = r->conn != NULL && uconn_connected(r->conn);
+
     if (now_us < r->end_us) {
         /* Armed early to look at the connection. */
-        if (!uconn_connected(r->conn)) {
+        if (!sent) {
             ups_saw_down(r->u, now_us);
             attempt_ended(r, UP_NOT_SENT, now_us);
             return;
@@ -431,7 +437,10 @@
         end_by(r, OUT_CUT, now_us);
         return;
     }
-    bool sent = r->conn != NULL && uconn_connected(r->conn);
+    if (sent && now_us < r->last_us) {
+        evl_arm(r->p->o.loop, &r->timer, r->last_us);
+        return;
+    }
     if (sent) {
         ups_saw_end(r->u, false, now_us);
     }
@@ -446,7 +455,7 @@
 attempt(Req *r, Ups *u, int64_t now_us)
 {
     Px *p = r->p;
-    int64_t left_ms = (r->end_us - now_us - ANSWER_MARGIN_US) / 1000;
+    int64_t left_ms = (r->last_us - now_us - ANSWER_MARGIN_US) / 1000;
 
     unhold(r);
     r->tried[r->n_tried++] = ups_ref(u);
@@ -520,15 +529,20 @@
     }
 }
 
-static int64_t
-time_left_us(const Px *p, const H1 *req, const RtRoute *route)
+static void
+set_times(Req *r, int64_t now_us)
 {
     uint64_t ms;
+    int64_t left_us = INT64_MAX / 2;
+    int64_t limit_us = r->route->timeout_us;
 
-    if (str_u64(h1_get(req, p->o.names->time_left_ms), DEADLINE_MS_MAX, &ms)) {
-        return MIN((int64_t)ms * 1000, route->timeout_us);
+    if (str_u64(h1_get(r->head, r->p->o.names->time_left_ms), DEADLINE_MS_MAX,
+                &ms)) {
+        left_us = (int64_t)ms * 1000;
     }
-    return route->timeout_us;
+    r->begin_us = now_us;
+    r->end_us = now_us + MIN(left_us, limit_us);
+    r->last_us = now_us + MIN(left_us, limit_us + ANSWER_GRACE_US);
 }
 
 static void
@@ -548,8 +562,7 @@
     r->demand = demand_service(p->o.demand, r->service->id);
     r->attempt = attempt_id;
     r->object = route->sticky && object.n > 0 ? hash_str(object, 1) : hash;
-    r->begin_us = now_us;
-    r->end_us = now_us + time_left_us(p, head, route);
+    set_times(r, now_us);
     r->timer = (EvlTimer){.fn = on_timer, .ctx = r};
     caller_set_user(c, r);
     if (route->sticky && object.n > 0) {
