Send heartbeats to a few VMs and pace the watch by the bounds

Change: a VM sends to four VMs of its region and two others, twice a second; news of objects spreads from VM to VM; a VM that was not heard counts as the mean of its region. The watch pauses for a quarter of the time in which a change must be known.

--- a/src/demand.c
+++ b/src/demand.c
@@ -158,16 +158,24 @@
 {
     SplitIn in = {.n = d->o.places->n_regions,
                   .max_shift_per_s = d->o.max_shift_per_s};
-    double sum = demand_own(s);
+    int heard[REGIONS_MAX] = {0};
+    double sum = 0;
 
-    in.demand[d->o.region] = sum;
+    in.demand[d->o.region] = demand_own(s);
+    heard[d->o.region] = 1;
     for (guint i = 0; i < d->heard->len; i++) {
         const Heard *h = &g_array_index(d->heard, Heard, i);
         if (h->service == s->id) {
             in.demand[h->region] += h->slots;
-            sum += h->slots;
+            heard[h->region]++;
         }
     }
+    for (int r = 0; r < in.n; r++) {
+        if (heard[r] > 0 && vms_by_region[r] > heard[r]) {
+            in.demand[r] *= (double)vms_by_region[r] / heard[r];
+        }
+        sum += in.demand[r];
+    }
     count_capacity(&in, set, s->id);
     if (sum < DEMAND_MIN_SLOTS) {
         assume_demand(&in, vms_by_region);
--- a/src/demand.h
+++ b/src/demand.h
@@ -54,7 +54,9 @@
 void demand_heard(Demand *d, uint64_t vm, int region, uint64_t service,
                   double slots, int64_t now_us);
 
-/* vms_by_region: VMs in use; before traffic they stand for the demand. */
+/* vms_by_region: VMs in use.  Those that were not heard lately are taken to
+ * ask for as much as the others of their region; before traffic they stand
+ * for the demand. */
 void demand_step(Demand *d, const UpsSet *set, const int *vms_by_region,
                  int64_t now_us);
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -21,7 +21,10 @@
 
 #define LOG_LINES_PER_S 60.0 /* about 20 KB/s and 1 % of a small machine */
 #define LOG_BUFFER_BYTES (256 * 1024)
-#define TICK_US 250000  /* heartbeats, shares, expiry, log */
+#define TICK_US 250000 /* heartbeats, shares, expiry, log */
+#define BEAT_US 500000
+#define FANOUT_NEAR 4 /* heartbeats to VMs of the own region */
+#define FANOUT_FAR 2
 #define LOOK_US 1000000 /* at the settings file */
 #define GONE_GRACE_US                                                         \
     2000000                   /* entries come back within that after a stop   \
@@ -66,6 +69,7 @@
     bool leaving;
     int64_t leave_us;
     int64_t look_us;
+    int64_t beat_us;
     int64_t suspended_us; /* boot time less steady time */
     int64_t unreadable;
 };
@@ -299,7 +303,7 @@
     for (int i = 0; i < b->n_objects; i++) {
         const PeerObject *o = &b->objects[i];
         plan_learn(g->plan, b->needs[o->need].service, o->object, o->weight,
-                   false, now_us);
+                   now_us);
     }
 }
 
@@ -329,25 +333,57 @@
     }
 }
 
+static void
+send_beat(Edge *g, PeerBeat *b, const Vm *v)
+{
+    char buf[PEER_BYTES_MAX];
+
+    b->echo_us = v->sent_us;
+    b->held_us = b->sent_us - v->heard_us;
+    size_t n = peer_encode(b, buf, sizeof(buf));
+    peer_send(g->peer, &v->peer, buf, n);
+}
+
+/* Sends to some VMs, near or far: all of them in a small fleet, else a random
+ * choice, so that the bytes of a VM do not grow with the fleet. */
+static void
+send_some(Edge *g, PeerBeat *b, bool near, int fanout)
+{
+    int region = g->set.places.region_of[g->set.zone];
+    int left = 0;
+
+    for (int pass = 0; pass < 2; pass++) {
+        for (int i = 0; i < vml_count(g->vms) && fanout > 0; i++) {
+            const Vm *v = vml_at(g->vms, i);
+            if ((v->region == region) != near ||
+                strcmp(v->id, g->set.vm_id) == 0) {
+                continue;
+            }
+            if (pass == 0) {
+                left++;
+                continue;
+            }
+            /* Selection sampling: each choice of that size is as likely. */
+            if (g_rand_int_range(g->rnd, 0, left) < fanout) {
+                send_beat(g, b, v);
+                fanout--;
+            }
+            left--;
+        }
+    }
+}
+
 static void
 send_beats(Edge *g)
 {
     PeerBeat b = {.boot_ms = g->boot_ms, .leaving = g->leaving};
-    char buf[PEER_BYTES_MAX];
 
     g_strlcpy(b.vm, g->set.vm_id, sizeof(b.vm));
     demand_each(g->demand, add_need, &b);
     add_objects(g, &b);
     b.sent_us = evl_now(g->loop);
-    for (int i = 0; i < vml_count(g->vms); i++) {
-        const Vm *v = vml_at(g->vms, i);
-        if (strcmp(v->id, g->set.vm_id) != 0) {
-            b.echo_us = v->sent_us;
-            b.held_us = b.sent_us - v->heard_us;
-            size_t n = peer_encode(&b, buf, sizeof(buf));
-            peer_send(g->peer, &v->peer, buf, n);
-        }
-    }
+    send_some(g, &b, true, FANOUT_NEAR);
+    send_some(g, &b, false, FANOUT_FAR);
 }
 
 /* A suspended machine wakes with an old view. */
@@ -432,7 +468,10 @@
     px_set_reach(g->px, vml_reach_us(g->vms));
     demand_step(g->demand, g->upstreams, by_region, now_us);
     plan_step(g->plan, g->upstreams, now_us);
-    send_beats(g);
+    if (now_us - g->beat_us >= BEAT_US) {
+        g->beat_us = now_us;
+        send_beats(g);
+    }
     look_for_suspension(g, now_us);
     if (now_us - g->look_us >= LOOK_US) {
         g->look_us = now_us;
@@ -625,6 +664,7 @@
         .store = g->set.store,
         .prefixes = pf_prefixes,
         .rnd = g->rnd,
+        .notice_us = MIN(g->set.drain_us, g->set.config_us),
         .fns = {on_item, on_view, on_trouble},
         .ctx = g,
     };
--- a/src/eset.c
+++ b/src/eset.c
@@ -167,6 +167,7 @@
 read_bounds(const Reader *r, Eset *s)
 {
     return read_time(r, "bounds", "drain", &s->drain_us) &&
+           read_time(r, "bounds", "configuration", &s->config_us) &&
            read_time(r, "bounds", "stop", &s->stop_us) &&
            read_time(r, "bounds", "directory_ttl", &s->directory_ttl_us) &&
            read_time(r, "bounds", "retry_window", &s->retry_window_us) &&
--- a/src/eset.h
+++ b/src/eset.h
@@ -32,8 +32,9 @@
     struct sockaddr_in peers;
     struct sockaddr_in metrics;
     struct sockaddr_in store;
-    int64_t drain_us; /* after it a leaving upstream gets nothing new */
-    int64_t stop_us;  /* between the signal to stop and the kill */
+    int64_t drain_us;  /* after it a leaving upstream gets nothing new */
+    int64_t config_us; /* by then a configuration is in force */
+    int64_t stop_us;   /* between the signal to stop and the kill */
     int64_t directory_ttl_us;
     double max_shift;
     double retry_ratio;
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -3,18 +3,19 @@
 
 #include <string.h>
 
-/* A call that waits for events ends by then; the sum with the pause and the
- * reserve stays under the time in which a configuration must be in force. */
-#define WATCH_WAIT_MS 500
-#define WATCH_TIMEOUT_US 1200000
+/* Parts of the time in which a change has to be known.  Events gather in the
+ * pause between two watches, since each call is priced.  A connection that
+ * went silent is given up after the time limit, and the sum leaves a reserve
+ * for the next call. */
+#define WATCH_PAUSE_PART 0.25
+#define WATCH_WAIT_PART 0.15
+#define WATCH_TIMEOUT_PART 0.45
 #define CALL_TIMEOUT_US 1000000
-/* Between two watches: events gather meanwhile, and each call is priced. */
-#define WATCH_PAUSE_US 300000
 #define BACKOFF_MIN_US 150000
 #define BACKOFF_MAX_US 600000
 #define RELIST_US 250000
 #define LEASE_TTL_US 4000000
-#define LEASE_KEEP_US 1300000 /* two renewals may fail */
+#define LEASE_KEEP_US 1600000 /* one renewal may fail */
 
 typedef struct Feed {
     struct Mirror *m;
@@ -57,6 +58,12 @@
     return (int64_t)((double)us * g_rand_double_range(m->o.rnd, 0.7, 1.3));
 }
 
+static int64_t
+part_of(const Mirror *m, double part)
+{
+    return (int64_t)((double)m->o.notice_us * part);
+}
+
 static void
 feed_later(Feed *f, int64_t us)
 {
@@ -265,15 +272,17 @@
     f->rev = MAX(f->rev, p.rev);
     kv_page_clear(&p);
     feed_works(f);
-    feed_later(f, WATCH_PAUSE_US);
+    feed_later(f, part_of(f->m, WATCH_PAUSE_PART));
 }
 
 static void
 feed_watch(Feed *f)
 {
     f->m->calls++;
-    kv_call(f->conn, f->m->o.codec->watch(f->prefix, f->rev, WATCH_WAIT_MS),
-            WATCH_TIMEOUT_US, on_watch, f);
+    kv_call(f->conn,
+            f->m->o.codec->watch(f->prefix, f->rev,
+                                 (int)(part_of(f->m, WATCH_WAIT_PART) / 1000)),
+            part_of(f->m, WATCH_TIMEOUT_PART), on_watch, f);
 }
 
 static void
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -34,6 +34,7 @@
     struct sockaddr_in store;
     const char *const *prefixes; /* NULL-terminated; each is watched */
     GRand *rnd;
+    int64_t notice_us; /* by then a change has to be known here */
     MirrorFns fns;
     void *ctx;
 } MirrorOpts;
--- a/src/plan.c
+++ b/src/plan.c
@@ -159,7 +159,7 @@
 }
 
 bool
-plan_learn(Plan *p, uint64_t service, uint64_t object, double weight, bool own,
+plan_learn(Plan *p, uint64_t service, uint64_t object, double weight,
            int64_t now_us)
 {
     Service *s = service_of(p, service);
@@ -182,10 +182,8 @@
     Object o = {object, w, now_us};
     insert(p, s, i, &o);
     s->dirty = true;
-    if (own) {
-        PlanObject x = {service, object, w};
-        g_array_append_val(p->fresh, x);
-    }
+    PlanObject x = {service, object, w};
+    g_array_append_val(p->fresh, x);
     return true;
 }
 
--- a/src/plan.h
+++ b/src/plan.h
@@ -29,11 +29,10 @@
 Plan *plan_new(int n_regions);
 void plan_free(Plan *p);
 
-/* Learns an object.  weight: slots that it needs.  own: this VM's callers
- * asked for it, so that the other VMs are to be told.  Returns true when it
- * was not known. */
+/* Learns an object, from a caller or another VM.  weight: slots that it
+ * needs.  Returns true when it was not known. */
 bool plan_learn(Plan *p, uint64_t service, uint64_t object, double weight,
-                bool own, int64_t now_us);
+                int64_t now_us);
 
 /* Plans again what has changed, at most once per PLAN_STEP_US. */
 #define PLAN_STEP_US 250000
@@ -48,8 +47,9 @@
     double weight;
 } PlanObject;
 
-/* Objects to tell the other VMs: new ones of this VM, and a few known ones in
- * turn for VMs that started since.  Returns the count. */
+/* Objects to tell some other VMs: each once when it was learned, so that the
+ * news spreads, and a few known ones in turn for VMs that started since.
+ * Returns the count. */
 int plan_news(Plan *p, PlanObject *out, int max);
 
 #endif
--- a/src/px.c
+++ b/src/px.c
@@ -566,7 +566,7 @@
     r->timer = (EvlTimer){.fn = on_timer, .ctx = r};
     caller_set_user(c, r);
     if (route->sticky && object.n > 0) {
-        plan_learn(p->o.plan, r->service->id, r->object, 1, true, now_us);
+        plan_learn(p->o.plan, r->service->id, r->object, 1, now_us);
     }
     demand_arrived(p->o.demand, r->demand, p->n_vms);
     dispatch(r, now_us);
--- a/src/vml.c
+++ b/src/vml.c
@@ -9,8 +9,10 @@
 #include "strm.h"
 
 /* A VM that was heard and is silent that long is taken for dead; heartbeats
- * come several times in it. */
+ * come several times in it.  In a large fleet a VM hears another one less
+ * often, by VMS_HEARD in a region. */
 #define SILENT_US 2500000
+#define VMS_HEARD 4
 #define ADDRESSES_WANTED 2
 #define RTT_RISE 64 /* heartbeats that a longer way takes to show */
 
@@ -181,10 +183,15 @@
 }
 
 static bool
-is_sound(const Vm *v, int64_t now_us)
+is_sound(const Vml *l, const Vm *v, int64_t now_us)
 {
-    return !v->leaving &&
-           (v->heard_us == 0 || now_us - v->heard_us < SILENT_US);
+    int fellows = 0;
+
+    for (int i = 0; i < vml_count(l); i++) {
+        fellows += vml_at(l, i)->region == v->region ? 1 : 0;
+    }
+    int64_t silent = SILENT_US * MAX(1, fellows / VMS_HEARD);
+    return !v->leaving && (v->heard_us == 0 || now_us - v->heard_us < silent);
 }
 
 /* Nearness: 0 same zone, 1 same region, 2 elsewhere. */
@@ -208,7 +215,7 @@
             for (int i = 0; i < vml_count(l) && n < max; i++) {
                 const Vm *v = vml_at(l, i);
                 if (distance(v, zone, region) == d &&
-                    (pass == 1 || is_sound(v, now_us))) {
+                    (pass == 1 || is_sound(l, v, now_us))) {
                     out[n++] = v->entry;
                 }
             }
