--- a/src/edge.c
+++ b/src/edge.c
@@ -6,8 +6,6 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include <glib-object.h>
-
 #include "caller.h"
 #include "demand.h"
 #include "dlog.h"
@@ -158,7 +156,7 @@
                    "id=%.*s event=unreadable rev=%" PRIu64 " error=\"%s\"",
                    (int)id.n, id.p, rev, e.text);
         ups_missing(g->upstreams, id, now_us);
-        g_clear_object(&keep);
+        pf_release(keep);
         return;
     }
     UpsChange ch = ups_report(g->upstreams, &r, now_us);
@@ -175,7 +173,7 @@
                    (int)id.n, id.p, names[ch], (int)r.service.n, r.service.p,
                    (int)r.zone.n, r.zone.p, rev, r.warmup_left_us / 1000);
     }
-    g_clear_object(&keep);
+    pf_release(keep);
 }
 
 static void
--- a/src/px.c
+++ b/src/px.c
@@ -273,7 +273,7 @@
             may_again(r, now_us) && (next = pick(r, now_us)) != NULL;
     }
     OutcomeAct act = outcome_decide(&in);
-    if (act == OUT_AGAIN) {
+    if (act == OUT_AGAIN && next != NULL) {
         r->p->counts[PX_RETRIES] += seen ? 1 : 0;
         attempt(r, next, now_us);
         return;
--- a/src/vml.c
+++ b/src/vml.c
@@ -135,7 +135,7 @@
         return;
     }
     while (i < l->vms->len &&
-           strcmp(g_array_index(l->vms, Vm, i).id, v->id) < 0) {
+           strcmp(vml_at(l, (int)i)->id, v->id) < 0) {
         i++;
     }
     g_array_insert_val(l->vms, i, *v);
--- /dev/null
+++ b/tests/test_h1.c
@@ -0,0 +1,230 @@
+/* Tests of h1 and pxhead: framing of messages, and heads that are passed on.
+ */
+#include "t.h"
+
+#include <string.h>
+
+#include "h1.h"
+#include "pxhead.h"
+
+#define HEAD_MAX 4096
+
+static const PxNames names = {"X-Attempt", "X-Object", "X-Left", "X-Want",
+                              "X-Seal",    "X-NotRun", "X-Load"};
+
+static H1State
+feed(H1 *h, GByteArray *in, const char *text)
+{
+    Err e = {0};
+
+    g_byte_array_append(in, (const guint8 *)text, (guint)strlen(text));
+    return h1_feed(h, in, HEAD_MAX, &e);
+}
+
+static H1State
+feed_once(bool request, const char *text)
+{
+    H1 h;
+    GByteArray *in = g_byte_array_new();
+
+    h1_init(&h, request);
+    H1State s = feed(&h, in, text);
+    h1_clear(&h);
+    g_byte_array_unref(in);
+    return s;
+}
+
+/* Guards against requests that two parsers frame differently. */
+START_TEST(ambiguous_requests_are_refused)
+{
+    static const char *const bad[] = {
+        "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 1\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length: +1\r\n\r\n",
+        "GET / HTTP/1.1\r\nContent-Length : 1\r\n\r\n",
+        "GET / HTTP/1.1\r\nA: b\r\n c: d\r\n\r\n",
+        "GET / HTTP/1.1\r\nA: b\nContent-Length: 5\r\n\r\n",
+        "GET / HTTP/1.1\r\nA: b\rC: d\r\n\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+        "GET  HTTP/1.1\r\n\r\n",
+        "nonsense\r\n\r\n",
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        ck_assert_msg(feed_once(true, bad[i]) == H1_ERROR, "%s", bad[i]);
+    }
+}
+END_TEST
+
+/* Guards against bytes of the next request being taken for a body. */
+START_TEST(a_message_ends_where_its_framing_says)
+{
+    static const struct {
+        const char *text;
+        const char *body;
+    } rows[] = {
+        {"GET /a HTTP/1.1\r\nHost: x\r\n\r\nGET /b", ""},
+        {"PUT /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET /b", "abc"},
+        {"PUT /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "2\r\nab\r\n1\r\nc\r\n0\r\n\r\nGET /b",
+         "abc"},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        H1 h;
+        GByteArray *in = g_byte_array_new();
+        h1_init(&h, true);
+        ck_assert_int_eq(feed(&h, in, rows[i].text), H1_DONE);
+        ck_assert_uint_eq(h.body->len, strlen(rows[i].body));
+        ck_assert(memcmp(h.body->data == NULL ? (guint8 *)"" : h.body->data,
+                         rows[i].body, h.body->len) == 0);
+        ck_assert_uint_eq(in->len, 6);
+        ck_assert(h.keep);
+        h1_next(&h);
+        ck_assert_int_eq(feed(&h, in, " HTTP/1.1\r\n\r\n"), H1_DONE);
+        ck_assert(str_eqz(h.target, "/b"));
+        h1_clear(&h);
+        g_byte_array_unref(in);
+    }
+}
+END_TEST
+
+/* Guards against a message that comes byte by byte being read differently. */
+START_TEST(split_reads_give_the_same_message)
+{
+    const char *text = "PUT /a HTTP/1.1\r\nTransfer-Encoding: "
+                       "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+    H1 h;
+    GByteArray *in = g_byte_array_new();
+    H1State s = H1_WAIT;
+    Err e = {0};
+
+    h1_init(&h, true);
+    for (size_t i = 0; i < strlen(text); i++) {
+        ck_assert_int_ne(s, H1_DONE);
+        g_byte_array_append(in, (const guint8 *)text + i, 1);
+        s = h1_feed(&h, in, HEAD_MAX, &e);
+    }
+    ck_assert_int_eq(s, H1_DONE);
+    ck_assert_uint_eq(h.body->len, 3);
+    ck_assert_uint_eq(in->len, 0);
+    h1_clear(&h);
+    g_byte_array_unref(in);
+}
+END_TEST
+
+/* Guards against unbounded heads. */
+START_TEST(large_heads_are_refused)
+{
+    GString *g = g_string_new("GET / HTTP/1.1\r\nA: ");
+
+    for (int i = 0; i < HEAD_MAX; i++) {
+        g_string_append_c(g, 'x');
+    }
+    ck_assert_int_eq(feed_once(true, g->str), H1_BIG);
+    g_string_free(g, TRUE);
+}
+END_TEST
+
+/* Guards against a cut answer that looks whole. */
+START_TEST(an_answer_cut_short_is_an_error)
+{
+    static const struct {
+        const char *text;
+        H1State at_end;
+    } rows[] = {
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", H1_ERROR},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+         H1_ERROR},
+        {"HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: "
+         "chunked\r\n\r\n2\r\nab\r\n",
+         H1_ERROR},
+        {"HTTP/1.1 200 OK\r\n\r\nab", H1_DONE},
+        {"HTTP/1.1 200 OK\r\nContent-", H1_ERROR},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        H1 h;
+        GByteArray *in = g_byte_array_new();
+        h1_init(&h, false);
+        ck_assert_int_ne(feed(&h, in, rows[i].text), H1_DONE);
+        ck_assert_int_eq(h1_eof(&h), rows[i].at_end);
+        ck_assert(!h.keep);
+        h1_clear(&h);
+        g_byte_array_unref(in);
+    }
+}
+END_TEST
+
+/* Guards against headers of one connection leaking to the next, and against a
+ * caller that names an upstream or a longer time itself. */
+START_TEST(request_heads_carry_what_concerns_the_upstream)
+{
+    H1 h;
+    GByteArray *in = g_byte_array_new();
+
+    h1_init(&h, true);
+    ck_assert_int_eq(
+        feed(&h, in,
+             "PUT /p?q=1 HTTP/1.1\r\nHost: a\r\nX-Attempt: 7\r\n"
+             "Connection: X-Mine\r\nX-Mine: 1\r\nX-Left: 9000\r\nX-Want: "
+             "u9\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nz\r\n0\r\n\r\n"),
+        H1_DONE);
+    GString *g = pxhead_request(&h, &names, "u1", 250);
+    ck_assert_str_eq(g->str, "PUT /p?q=1 HTTP/1.1\r\nHost: a\r\nX-Attempt: "
+                             "7\r\nX-Left: 250\r\nX-Want: "
+                             "u1\r\nContent-Length: 1\r\n\r\n");
+    g_string_free(g, TRUE);
+    h1_clear(&h);
+    g_byte_array_unref(in);
+}
+END_TEST
+
+/* Guards against passing on an answer of another request, and against a
+ * success without proof. */
+START_TEST(answers_are_told_apart)
+{
+    static const struct {
+        const char *head;
+        PxAnswer kind;
+    } rows[] = {
+        {"200 OK\r\nX-Attempt: 7\r\nX-Seal: s", PX_ANSWER_OWN},
+        {"500 Error\r\nX-Attempt: 7", PX_ANSWER_OWN},
+        {"200 OK\r\nX-Attempt: 8\r\nX-Seal: s", PX_ANSWER_OTHER},
+        {"200 OK\r\nX-Attempt: 7", PX_ANSWER_BAD},
+        {"200 OK\r\nX-Seal: s", PX_ANSWER_BAD},
+        {"503 Busy\r\nX-Attempt: 7\r\nX-NotRun: 1", PX_ANSWER_NOT_RUN},
+        {"421 Other\r\nX-Attempt: 7", PX_ANSWER_NOT_RUN},
+        {"503 Busy\r\nX-Attempt: 8\r\nX-NotRun: 1", PX_ANSWER_OTHER},
+        /* Without an id it may belong to any request. */
+        {"503 Busy\r\nX-NotRun: 1", PX_ANSWER_BAD},
+        {"503 Busy\r\nX-Attempt: 7", PX_ANSWER_OWN},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        H1 h;
+        GByteArray *in = g_byte_array_new();
+        char *t = g_strdup_printf("HTTP/1.1 %s\r\nContent-Length: 0\r\n\r\n",
+                                  rows[i].head);
+        h1_init(&h, false);
+        ck_assert_int_eq(feed(&h, in, t), H1_DONE);
+        ck_assert_msg(pxhead_kind(&h, &names, str_of("7")) == rows[i].kind,
+                      "%s", t);
+        g_free(t);
+        h1_clear(&h);
+        g_byte_array_unref(in);
+    }
+}
+END_TEST
+
+T_MAIN("h1", ambiguous_requests_are_refused,
+       a_message_ends_where_its_framing_says,
+       split_reads_give_the_same_message, large_heads_are_refused,
+       an_answer_cut_short_is_an_error,
+       request_heads_carry_what_concerns_the_upstream, answers_are_told_apart)
--- /dev/null
+++ b/tests/test_outcome.c
@@ -0,0 +1,86 @@
+/* Tests of outcome and gate: what follows an attempt, and a lack of room. */
+#include "t.h"
+
+#include <glib.h>
+
+#include "gate.h"
+#include "outcome.h"
+
+#define MS 1000LL
+
+/* Guards against a second run of work that is not idempotent, and against a
+ * "not run" for what may have run.  One row for each end of an attempt. */
+START_TEST(each_end_has_its_answer)
+{
+    static const struct {
+        UpEnd end;
+        OutcomeAct again_idempotent;
+        OutcomeAct again_other;
+        OutcomeAct last;
+        OutcomeAct last_ran;
+    } rows[] = {
+        {UP_NOT_SENT, OUT_AGAIN, OUT_AGAIN, OUT_NOT_RUN, OUT_FAILED},
+        {UP_NOT_RUN, OUT_AGAIN, OUT_AGAIN, OUT_NOT_RUN, OUT_FAILED},
+        {UP_LOST, OUT_AGAIN, OUT_FAILED, OUT_FAILED, OUT_FAILED},
+        {UP_GARBLED, OUT_AGAIN, OUT_FAILED, OUT_FAILED, OUT_FAILED},
+        {UP_ANSWER, OUT_PASS, OUT_PASS, OUT_PASS, OUT_PASS},
+        {UP_CUT, OUT_CUT, OUT_CUT, OUT_CUT, OUT_CUT},
+        {UP_LATE, OUT_TIMED_OUT, OUT_TIMED_OUT, OUT_TIMED_OUT, OUT_TIMED_OUT},
+    };
+
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        OutcomeIn in = {rows[i].end, true, false, true};
+        ck_assert_int_eq(outcome_decide(&in), rows[i].again_idempotent);
+        in.idempotent = false;
+        ck_assert_int_eq(outcome_decide(&in), rows[i].again_other);
+        in.may_again = false;
+        ck_assert_int_eq(outcome_decide(&in), rows[i].last);
+        in.ran = true;
+        ck_assert_int_eq(outcome_decide(&in), rows[i].last_ran);
+    }
+}
+END_TEST
+
+/* Guards against requests that are kept although no upstream can serve them,
+ * and against callers sent away for longer than they wait. */
+START_TEST(lack_of_room_holds_briefly_then_refuses)
+{
+    GateIn in = {.target_us = 400 * MS,
+                 .left_us = 1200 * MS,
+                 .work_us = 150 * MS,
+                 .any_usable = true,
+                 .dice = 0.5};
+
+    ck_assert(gate_decide(&in).hold);
+    in.held_us = 100 * MS;
+    GateOut out = gate_decide(&in);
+    ck_assert(!out.hold);
+    ck_assert_int_gt(out.retry_us, 0);
+    ck_assert_int_le(out.retry_us, in.left_us / 3);
+    in.held_us = 0;
+    in.any_usable = false;
+    ck_assert(!gate_decide(&in).hold);
+    in.any_usable = true;
+    in.left_us = 100 * MS;
+    out = gate_decide(&in);
+    ck_assert(!out.hold);
+    ck_assert_int_le(out.retry_us, in.left_us / 3 + 1000);
+}
+END_TEST
+
+/* Guards against refused callers that come back all at once. */
+START_TEST(returns_are_spread)
+{
+    GateIn in = {.target_us = 400 * MS,
+                 .held_us = 400 * MS,
+                 .left_us = 1200 * MS,
+                 .any_usable = true};
+    int64_t first = gate_decide(&in).retry_us;
+
+    in.dice = 0.99;
+    ck_assert_int_gt(gate_decide(&in).retry_us, first * 2);
+}
+END_TEST
+
+T_MAIN("outcome", each_end_has_its_answer,
+       lack_of_room_holds_briefly_then_refuses, returns_are_spread)
