--- a/src/edge.c
+++ b/src/edge.c
@@ -38,7 +38,7 @@
 /* A planned stop: what is told to callers by then, and what is left of the
  * time for the last answers. */
 #define STOP_CLOSE_US 1000000
-#define STOP_RESERVE_US 900000
+#define STOP_RESERVE_US 1500000
 #define STOP_EARLIEST_US 3000000
 
 struct Edge {
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -7,9 +7,9 @@
  * pause between two watches, since each call is priced.  A connection that
  * went silent is given up after the time limit, and the sum leaves a reserve
  * for the next call. */
-#define WATCH_PAUSE_PART 0.25
-#define WATCH_WAIT_PART 0.15
-#define WATCH_TIMEOUT_PART 0.45
+#define WATCH_PAUSE_PART 0.35
+#define WATCH_WAIT_PART 0.1
+#define WATCH_TIMEOUT_PART 0.4
 #define CALL_TIMEOUT_US 1000000
 #define BACKOFF_MIN_US 150000
 #define BACKOFF_MAX_US 600000
