--- a/src/evl.c
+++ b/src/evl.c
@@ -198,6 +198,7 @@
 void
 evl_run(Evl *l)
 {
+    l->stopped = false;
     while (!l->stopped) {
         turn(l);
     }
--- a/src/evl.h
+++ b/src/evl.h
@@ -38,6 +38,7 @@
 
 Evl *evl_new(void);
 void evl_free(Evl *l);
+/* Runs until evl_stop(); may be called again after it. */
 void evl_run(Evl *l);
 void evl_stop(Evl *l);
 
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -66,6 +66,7 @@
     char service[NAME_BYTES];
     char zone[NAME_BYTES];
     struct sockaddr_in at;
+    struct sockaddr_in told; /* the address that it registers */
     int seq;
     CallerSet *callers;
 } Target;
@@ -665,7 +666,7 @@
             "{\"Service\":\"%s\",\"Addr\":\"127.0.0.1:%d\",\"Zone\":\"%s\","
             "\"Slots\":%d,\"State\":\"ready\",\"ColdLeft\":\"0ms\",\"Seq\":%d,"
             "\"born\":1}",
-            t->service, ntohs(t->at.sin_port), t->zone, RUN_SLOTS, ++t->seq);
+            t->service, ntohs(t->told.sin_port), t->zone, RUN_SLOTS, ++t->seq);
         put_bytes(p, key, text, strlen(text));
         g_free(key);
         g_free(text);
@@ -694,15 +695,17 @@
     return s;
 }
 
-/* Reads "ID,IP:PORT,SERVICE,ZONE". */
+/* Reads "ID,IP:PORT,SERVICE,ZONE", and behind it ",IP:PORT" of a proxy. */
 static bool
 add_target(Platform *p, const char *text)
 {
     Target *t = &p->targets[p->n_targets];
     char **f = g_strsplit(text, ",", 0);
-    bool ok = p->n_targets < STANDIN_TARGETS && g_strv_length(f) == 4 &&
+    guint n = g_strv_length(f);
+    bool ok = p->n_targets < STANDIN_TARGETS && (n == 4 || n == 5) &&
               str_copy(t->id, sizeof(t->id), str_of(f[0])) &&
               strm_addr(str_of(f[1]), &t->at) &&
+              strm_addr(str_of(f[n == 5 ? 4 : 1]), &t->told) &&
               str_copy(t->service, sizeof(t->service), str_of(f[2])) &&
               str_copy(t->zone, sizeof(t->zone), str_of(f[3]));
 
@@ -716,7 +719,7 @@
 usage(void)
 {
     fputs("usage: standin-platform --store IP:PORT "
-          "[--target ID,IP:PORT,SERVICE,ZONE]...\n",
+          "[--target ID,IP:PORT,SERVICE,ZONE[,PROXY]]...\n",
           stderr);
     return 2;
 }
--- /dev/null
+++ b/tests/soak_proxy.h
@@ -0,0 +1,204 @@
+/*
+ * soak_proxy - loopback proxy between real processes, with faults.
+ *
+ * Included by one program only, hence static functions.
+ */
+#ifndef MIMOSA_SOAK_PROXY_H
+#define MIMOSA_SOAK_PROXY_H
+
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "evl.h"
+#include "strm.h"
+
+typedef enum ProxyMode {
+    PROXY_PASS,
+    PROXY_DELAY,   /* bytes of both directions come late */
+    PROXY_SILENT,  /* no bytes pass, connections stay open */
+    PROXY_ONE_WAY, /* nothing comes back */
+    PROXY_RESET,   /* connections are reset, new ones too */
+    PROXY_MODES
+} ProxyMode;
+
+#define PROXY_DELAY_US 120000
+
+static const char *const proxy_names[] = {"pass", "delay", "silent", "one_way",
+                                          "reset"};
+
+typedef struct Proxy {
+    Evl *loop;
+    EvlFd listener;
+    struct sockaddr_in to;
+    ProxyMode mode;
+    GQueue pairs;
+} Proxy;
+
+/* Two sides of one connection; side 0 is the one that connected. */
+typedef struct Pair {
+    Proxy *p;
+    Strm side[2];
+    bool open[2];
+    bool ended[2]; /* the peer of that side closed its direction */
+    bool gone;
+    EvlTimer timer;
+    GList link;
+} Pair;
+
+static void
+pair_free(gpointer data)
+{
+    g_free(data);
+}
+
+static void
+pair_close(Pair *x, bool reset)
+{
+    struct linger now = {1, 0};
+
+    if (x->gone) {
+        return;
+    }
+    x->gone = true;
+    evl_disarm(x->p->loop, &x->timer);
+    g_queue_unlink(&x->p->pairs, &x->link);
+    for (int i = 0; i < 2; i++) {
+        if (x->open[i]) {
+            if (reset) {
+                setsockopt(x->side[i].ev.fd, SOL_SOCKET, SO_LINGER, &now,
+                           sizeof(now));
+            }
+            strm_close(&x->side[i]);
+        }
+    }
+    evl_later(x->p->loop, pair_free, x);
+}
+
+/* Hands on what waits; bytes stay where they are while the mode holds them. */
+static void
+pair_pump(Pair *x)
+{
+    for (int i = 0; i < 2 && !x->gone; i++) {
+        GByteArray *in = x->side[i].in;
+        if (x->p->mode == PROXY_SILENT ||
+            (x->p->mode == PROXY_ONE_WAY && i == 1)) {
+            continue;
+        }
+        if (in->len > 0) {
+            strm_write(&x->side[1 - i], in->data, in->len);
+            g_byte_array_set_size(in, 0);
+        }
+        if (x->ended[i] && x->side[1 - i].out->len == 0) {
+            pair_close(x, false);
+        }
+    }
+}
+
+static void
+pair_event(Pair *x, int i, StrmEvent ev)
+{
+    switch (ev) {
+    case STRM_READABLE:
+        if (x->p->mode == PROXY_DELAY) {
+            if (x->timer.slot == 0) {
+                evl_arm(x->p->loop, &x->timer,
+                        evl_now(x->p->loop) + PROXY_DELAY_US);
+            }
+            return;
+        }
+        break;
+    case STRM_EOF:
+        x->ended[i] = true;
+        break;
+    case STRM_FAILED:
+        pair_close(x, true);
+        return;
+    case STRM_CONNECTED:
+    case STRM_FLUSHED:
+        break;
+    }
+    pair_pump(x);
+}
+
+static void
+pair_from(void *ctx, StrmEvent ev)
+{
+    pair_event(ctx, 0, ev);
+}
+
+static void
+pair_to(void *ctx, StrmEvent ev)
+{
+    pair_event(ctx, 1, ev);
+}
+
+static void
+pair_timer(void *ctx, int64_t now_us)
+{
+    (void)now_us;
+    pair_pump(ctx);
+}
+
+static void
+proxy_accept(void *ctx, uint32_t events)
+{
+    Proxy *p = ctx;
+    int fd = accept4(p->listener.fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    (void)events;
+
+    if (fd < 0) {
+        return;
+    }
+    Pair *x = g_new0(Pair, 1);
+    x->p = p;
+    x->link.data = x;
+    x->timer = (EvlTimer){.fn = pair_timer, .ctx = x};
+    g_queue_push_tail_link(&p->pairs, &x->link);
+    strm_accept(&x->side[0], p->loop, fd, pair_from, x);
+    x->open[0] = true;
+    x->open[1] = strm_connect(&x->side[1], p->loop, &p->to, 0, pair_to, x);
+    if (!x->open[1] || p->mode == PROXY_RESET) {
+        pair_close(x, true);
+    }
+}
+
+/* Changes the mode; what was held goes on, a reset hits all connections. */
+static void
+proxy_set(Proxy *p, ProxyMode mode)
+{
+    GList *next;
+
+    p->mode = mode;
+    for (GList *l = p->pairs.head; l != NULL; l = next) {
+        next = l->next;
+        if (mode == PROXY_RESET) {
+            pair_close(l->data, true);
+        }
+        else {
+            pair_pump(l->data);
+        }
+    }
+}
+
+static void
+proxy_start(Proxy *p, Evl *loop, const char *at, const char *to)
+{
+    struct sockaddr_in a;
+    Err e = {0};
+
+    p->loop = loop;
+    g_queue_init(&p->pairs);
+    if (!strm_addr(str_of(at), &a) || !strm_addr(str_of(to), &p->to) ||
+        (p->listener.fd = strm_listen(&a, &e)) < 0) {
+        fprintf(stderr, "proxy %s: %s\n", at, e.text);
+        exit(2);
+    }
+    p->listener.fn = proxy_accept;
+    p->listener.ctx = p;
+    evl_add(loop, &p->listener, EPOLLIN);
+}
+
+#endif
