--- a/src/edge.c
+++ b/src/edge.c
@@ -694,6 +694,7 @@
     dlog_event(g->log, DLOG_INFO, "vm",
                "id=%s event=started zone=%s boot=%" PRIu64, g->set.vm_id,
                g->set.places.zones[g->set.zone], g->boot_ms);
+    dlog_flush(g->log);
     g->tick = (EvlTimer){.fn = on_tick, .ctx = g};
     evl_arm(loop, &g->tick, evl_now(loop) + TICK_US);
     return g;
--- a/src/edge_main.c
+++ b/src/edge_main.c
@@ -35,8 +35,8 @@
 }
 
 /* Signals are read from a descriptor, so that they wait for their turn. */
-static int
-open_signals(void)
+static sigset_t
+block_signals(void)
 {
     sigset_t set;
 
@@ -45,7 +45,7 @@
     sigaddset(&set, SIGINT);
     sigaddset(&set, SIGHUP);
     sigprocmask(SIG_BLOCK, &set, NULL);
-    return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+    return set;
 }
 
 static void
@@ -67,7 +67,8 @@
 {
     Err e = {0};
     Run r = {0};
-    int fd = open_signals();
+    sigset_t set = block_signals();
+    int fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 
     if (fd < 0) {
         fprintf(stderr, "mimosa-edge: signalfd: %s\n", strerror(errno));
@@ -118,6 +119,8 @@
     bool only_check = false;
     int c;
 
+    /* First of all: a signal to stop may come while the program starts. */
+    block_signals();
     while ((c = getopt_long(argc, argv, "", opts, NULL)) != -1) {
         switch (c) {
         case 'c':
--- a/src/gate.c
+++ b/src/gate.c
@@ -9,7 +9,7 @@
 /* Callers keep to a Retry-After of up to that part of the time they have. */
 #define RETRY_LEFT_PART 0.33
 #define RETRY_TARGET_PART 0.2 /* of the latency target, before the spread */
-#define RETRY_NONE_US 700000   /* nothing usable: wait for discovery */
+#define RETRY_NONE_US 700000  /* nothing usable: wait for discovery */
 
 GateOut
 gate_decide(const GateIn *in)
--- a/src/pick.c
+++ b/src/pick.c
@@ -1,15 +1,11 @@
 /* pick - choice of an upstream for one request.  See pick.h. */
 #include "pick.h"
 
-#include <math.h>
-
 #include "hash.h"
 
-#define CANDIDATES 1
-
-/* What a later candidate costs, in parts of its slots: the first one is used
- * until it is that much fuller. */
-static const double rank_cost[3] = {0, 0.35, 0.5};
+/* Upstreams that are looked at for one object: its own, and the one that
+ * stands in when that one is poor. */
+#define CANDIDATES 2
 
 /* Load over the slots up to which a rank is let in; the upstream queues what
  * is over 1.  Less urgent work leaves room for more urgent work. */
@@ -19,9 +15,11 @@
  * target; a wait and the work itself must fit into the rest. */
 #define NEAR_PART 0.33
 
-#define FAILS_COST 3.0       /* a failing upstream against a full one */
-#define SLOW_FROM 1.6        /* slowness that starts to count */
-#define SLOW_COST 0.6        /* per unit of slowness beyond that */
+#define FILL_MORE 1.0 /* places in each queue beside that, for few slots */
+/* Shares of failures and slowness from which an upstream is poor.  A cold one
+ * takes about three times as long. */
+#define POOR_FAILS 0.4
+#define POOR_SLOWNESS 3.0
 #define DOWN_WAIT_US 1000000 /* between tries of one that is unreachable */
 #define COLD_PART 0.9        /* of the rate that a cold upstream bears */
 #define COLD_BURST 1.0
@@ -148,18 +146,21 @@
         !may_use(in, u, now_us)) {
         return n;
     }
+    if (n > 0 && c[0].u != u) {
+        c[1] = c[0];
+        n = CANDIDATES;
+    }
     c[0] = (Candidate){u, 0};
     return MAX(n, 1);
 }
 
-static double
-cost(const Ups *u, int rank, int64_t now_us)
+/* True when an upstream fails or is slow so often that a cold one is better.
+ */
+static bool
+is_poor(const Ups *u, int64_t now_us)
 {
-    double slow = ups_slowness(u, now_us);
-
-    return (ups_load(u, now_us) + 1) / u->slots + rank_cost[rank] +
-           FAILS_COST * ups_fails(u, now_us) +
-           SLOW_COST * fmax(0, slow - SLOW_FROM);
+    return ups_fails(u, now_us) > POOR_FAILS ||
+           ups_slowness(u, now_us) > POOR_SLOWNESS;
 }
 
 static bool
@@ -167,25 +168,16 @@
 {
     int r = CLAMP(rank, 0, RANKS_MAX - 1);
 
-    return ups_load(u, now_us) < u->slots * fill_limit[r];
+    return ups_load(u, now_us) < u->slots * fill_limit[r] + FILL_MORE;
 }
 
+/* The first candidate, or the second where the first is poor and the second
+ * is not.  A full first one does not make its requests spill. */
 static Ups *
 choose(const PickIn *in, const Candidate *c, int n, int64_t now_us, int *at)
 {
-    Ups *best = NULL;
-    double low = 0;
-
-    for (int i = 0; i < n; i++) {
-        double x = cost(c[i].u, i, now_us);
-        if (has_room(c[i].u, in->route->rank, now_us) &&
-            (best == NULL || x < low)) {
-            best = c[i].u;
-            low = x;
-            *at = i;
-        }
-    }
-    return best;
+    *at = n > 1 && is_poor(c[0].u, now_us) && !is_poor(c[1].u, now_us) ? 1 : 0;
+    return has_room(c[*at].u, in->route->rank, now_us) ? c[*at].u : NULL;
 }
 
 Ups *
--- a/src/pick.h
+++ b/src/pick.h
@@ -5,7 +5,7 @@
  * that saw an object lately serves it in a fraction of the time, and it
  * remembers a bounded number of objects.  Each object therefore has few
  * candidates, by rendezvous hashing; spilling to any upstream with room would
- * make all of them cold for all objects.
+ * make all of them cold for all objects.  A full upstream refuses.
  *
  * Where the way between regions is short against the latency target, an
  * object has one place for the callers of all regions: fewer upstreams have
@@ -26,7 +26,7 @@
 
 typedef enum PickWhy {
     PICK_FIRST, /* the object's first candidate */
-    PICK_SPILL, /* a later candidate, by load or health */
+    PICK_SPILL, /* the stand-in for one that fails or is slow */
     PICK_AWAY,  /* the planned region has no usable upstream */
     PICK_FULL,  /* the candidates have no room for this rank */
     PICK_NONE   /* no usable upstream at all */
--- a/src/vml.c
+++ b/src/vml.c
@@ -134,8 +134,7 @@
         }
         return;
     }
-    while (i < l->vms->len &&
-           strcmp(vml_at(l, (int)i)->id, v->id) < 0) {
+    while (i < l->vms->len && strcmp(vml_at(l, (int)i)->id, v->id) < 0) {
         i++;
     }
     g_array_insert_val(l->vms, i, *v);
