--- a/src/plan.c
+++ b/src/plan.c
@@ -245,6 +245,27 @@
     return n;
 }
 
+/* The best target that is not full, else the least full one in parts of its
+ * slots.  bound: load that a slot may get. */
+static Target *
+place(const GArray *targets, const Object *o, double bound)
+{
+    guint ranks[RANKS] = {0};
+    int n = rank(targets, o->object, ranks);
+    Target *best = &g_array_index(targets, Target, ranks[0]);
+
+    for (int k = 0; k < n; k++) {
+        Target *t = &g_array_index(targets, Target, ranks[k]);
+        if (t->load + o->weight <= bound * t->u->slots) {
+            return t;
+        }
+        if (t->load / t->u->slots < best->load / best->u->slots) {
+            best = t;
+        }
+    }
+    return best;
+}
+
 static void
 plan_scope(Service *s, Scope *sc, const GArray *targets)
 {
@@ -262,24 +283,9 @@
     }
     for (guint i = 0; i < s->objects->len && targets->len > 0; i++) {
         const Object *o = &g_array_index(s->objects, Object, i);
-        guint ranks[RANKS];
-        int n = rank(targets, o->object, ranks);
-        Target *best = NULL;
-        for (int k = 0; k < n; k++) {
-            Target *t = &g_array_index(targets, Target, ranks[k]);
-            double bound = LOAD_BOUND * weight / slots * t->u->slots;
-            if (t->load + o->weight <= bound) {
-                best = t;
-                break;
-            }
-            /* When all are full, the least full one in parts of its slots. */
-            if (best == NULL ||
-                t->load / t->u->slots < best->load / best->u->slots) {
-                best = t;
-            }
-        }
-        best->load += o->weight;
-        sc->owners[i] = ups_ref(best->u);
+        Target *t = place(targets, o, LOAD_BOUND * weight / slots);
+        t->load += o->weight;
+        sc->owners[i] = ups_ref(t->u);
     }
 }
 
--- a/src/vml.c
+++ b/src/vml.c
@@ -118,11 +118,16 @@
     return NULL;
 }
 
+static gint
+by_id(gconstpointer a, gconstpointer b)
+{
+    return strcmp(((const Vm *)a)->id, ((const Vm *)b)->id);
+}
+
 void
 vml_put(Vml *l, const Vm *v)
 {
     Vm *old = vml_find(l, str_of(v->id));
-    guint i = 0;
 
     if (old != NULL) {
         Vm was = *old;
@@ -134,10 +139,8 @@
         }
         return;
     }
-    while (i < l->vms->len && strcmp(vml_at(l, (int)i)->id, v->id) < 0) {
-        i++;
-    }
-    g_array_insert_val(l->vms, i, *v);
+    g_array_append_val(l->vms, *v);
+    g_array_sort(l->vms, by_id);
 }
 
 void
