--- a/tests/platform_path.sh
+++ b/tests/platform_path.sh
@@ -10,7 +10,6 @@
 port=${PORT:-27400}
 store=127.0.0.1:$port
 fails=0
-vm1=
 vm2=
 
 stop_all() {
