Refuse requests that crash upstreams, on all VMs

Change: crash counts lost answers whose upstream was then found down or started again, tells them with heartbeats, and refuses a request that met three.

--- a/src/edge.c
+++ b/src/edge.c
@@ -52,6 +52,7 @@
     UconnPool *pool;
     Demand *demand;
     Plan *plan;
+    Crashes *crashes;
     Vml *vms;
     GArray *shares; /* PickVm of vms */
     Peer *peer;
@@ -298,6 +299,10 @@
         demand_heard(g->demand, v->key, v->region, b->needs[i].service,
                      b->needs[i].slots, now_us);
     }
+    for (int i = 0; i < b->n_crashes; i++) {
+        CrashNews n = {b->crashes[i].print, b->crashes[i].id};
+        crash_learn(g->crashes, &n, now_us);
+    }
     for (int i = 0; i < b->n_objects; i++) {
         const PeerObject *o = &b->objects[i];
         plan_learn(g->plan, b->needs[o->need].service, o->object, o->weight,
@@ -331,6 +336,17 @@
     }
 }
 
+static void
+add_crashes(Edge *g, PeerBeat *b)
+{
+    CrashNews list[PEER_CRASHES_MAX];
+    int n = crash_news(g->crashes, list, PEER_CRASHES_MAX, evl_now(g->loop));
+
+    for (int i = 0; i < n; i++) {
+        b->crashes[b->n_crashes++] = (PeerCrash){list[i].print, list[i].id};
+    }
+}
+
 static void
 send_beat(Edge *g, PeerBeat *b, const Vm *v)
 {
@@ -379,6 +395,7 @@
     g_strlcpy(b.vm, g->set.vm_id, sizeof(b.vm));
     demand_each(g->demand, add_need, &b);
     add_objects(g, &b);
+    add_crashes(g, &b);
     b.sent_us = evl_now(g->loop);
     send_some(g, &b, true, FANOUT_NEAR);
     send_some(g, &b, false, FANOUT_FAR);
@@ -637,6 +654,7 @@
     };
     g->demand = demand_new(&dopt);
     g->plan = plan_new(pl->n_regions);
+    g->crashes = crash_new();
     PxOpts po = {
         .loop = g->loop,
         .log = g->log,
@@ -647,6 +665,7 @@
         .pool = g->pool,
         .demand = g->demand,
         .plan = g->plan,
+        .crashes = g->crashes,
         .rnd = g->rnd,
     };
     g->px = px_new(&po);
@@ -716,6 +735,7 @@
     callers_free(g->callers);
     px_free(g->px);
     uconns_free(g->pool);
+    crash_free(g->crashes);
     plan_free(g->plan);
     demand_free(g->demand);
     ups_free(g->upstreams);
--- a/src/peer.c
+++ b/src/peer.c
@@ -78,6 +78,19 @@
             return FALSE;
         }
     }
+    n = b->n_crashes;
+    if (!xdr_int(x, &n) || n < 0 || n > PEER_CRASHES_MAX) {
+        return FALSE;
+    }
+    b->n_crashes = n;
+    for (int i = 0; i < n; i++) {
+        u_quad_t print = b->crashes[i].print;
+        u_quad_t id = b->crashes[i].id;
+        if (!xdr_u_int64_t(x, &print) || !xdr_u_int64_t(x, &id)) {
+            return FALSE;
+        }
+        b->crashes[i] = (PeerCrash){print, id};
+    }
     n = b->n_objects;
     if (!xdr_int(x, &n) || n < 0 || n > PEER_OBJECTS_MAX) {
         return FALSE;
--- a/src/peer.h
+++ b/src/peer.h
@@ -17,7 +17,8 @@
 #include "limits.h"
 
 #define PEER_SERVICES_MAX 32
-#define PEER_OBJECTS_MAX 36
+#define PEER_OBJECTS_MAX 30
+#define PEER_CRASHES_MAX 6
 #define PEER_BYTES_MAX 1200 /* fits one packet on common links */
 
 typedef struct PeerNeed {
@@ -31,6 +32,12 @@
     double weight;
 } PeerObject;
 
+/* A request that was in flight when an upstream crashed. */
+typedef struct PeerCrash {
+    uint64_t print;
+    uint64_t id;
+} PeerCrash;
+
 typedef struct PeerBeat {
     char vm[NAME_BYTES];
     uint64_t boot_ms;
@@ -41,6 +48,8 @@
     int64_t held_us; /* since that one came */
     int n_needs;
     PeerNeed needs[PEER_SERVICES_MAX];
+    int n_crashes;
+    PeerCrash crashes[PEER_CRASHES_MAX];
     int n_objects;
     PeerObject objects[PEER_OBJECTS_MAX];
 } PeerBeat;
--- a/src/px.c
+++ b/src/px.c
@@ -38,6 +38,7 @@
     ReqState state;
     Str attempt;
     uint64_t object;
+    uint64_t print; /* what makes it the same when it comes back */
     int64_t begin_us;
     int64_t end_us;  /* the caller leaves, or the route's time is over */
     int64_t last_us; /* the same with the grace for an answer */
@@ -63,12 +64,13 @@
     PX_UNROUTED,
     PX_BAD_HEAD,
     PX_RETRIES,
+    PX_CRASHES,
     PX_COUNTS
 } PxCount;
 
 static const char *const count_names[PX_COUNTS] = {
     "answered", "refused",  "failed",   "timed_out", "cut",
-    "left",     "unrouted", "bad_head", "retries"};
+    "left",     "unrouted", "bad_head", "retries",   "crashes"};
 
 struct Px {
     PxOpts o;
@@ -244,7 +246,8 @@
 {
     const Px *p = r->p;
 
-    if (r->n_tried >= PICK_TRIED_MAX ||
+    if (crash_refuses(p->o.crashes, r->print, now_us) ||
+        r->n_tried >= PICK_TRIED_MAX ||
         r->arrivals >= r->route->max_attempts ||
         r->end_us - now_us < (int64_t)(r->demand->work_s * 5e5)) {
         return false;
@@ -264,6 +267,10 @@
     bool seen = end != UP_NOT_SENT;
     Ups *next = NULL;
 
+    if (end == UP_LOST) {
+        crash_lost(r->p->o.crashes, r->print, r->u, now_us);
+    }
+
     drop_upstream(r);
     r->arrivals += seen ? 1 : 0;
     r->ran = r->ran || (seen && end != UP_NOT_RUN);
@@ -569,6 +576,13 @@
         plan_learn(p->o.plan, r->service->id, r->object, 1, now_us);
     }
     demand_arrived(p->o.demand, r->demand, p->n_vms);
+    r->print =
+        crash_print(h1_method(head), head->target, object,
+                    (Str){(const char *)head->body->data, head->body->len});
+    if (crash_refuses(p->o.crashes, r->print, now_us)) {
+        say(r, PX_CRASHES, 503, "crashes_upstreams", 0, now_us);
+        return;
+    }
     dispatch(r, now_us);
 }
 
--- a/src/px.h
+++ b/src/px.h
@@ -12,7 +12,7 @@
 #include <glib.h>
 
 #include "caller.h"
-#include "ctr.h"
+#include "crash.h"
 #include "demand.h"
 #include "dlog.h"
 #include "pick.h"
@@ -31,6 +31,7 @@
     UconnPool *pool;
     Demand *demand;
     Plan *plan;
+    Crashes *crashes;
     GRand *rnd;
 } PxOpts;
 
--- a/src/vml.c
+++ b/src/vml.c
@@ -213,7 +213,7 @@
     int n = 0;
 
     for (int pass = 0; pass < 2 && n == 0; pass++) {
-        for (int d = 0; d <= 2 && n < ADDRESSES_WANTED; d++) {
+        for (int d = 0; d <= 2 && (n < ADDRESSES_WANTED || pass == 1); d++) {
             for (int i = 0; i < vml_count(l) && n < max; i++) {
                 const Vm *v = vml_at(l, i);
                 if (distance(v, zone, region) == d &&
--- a/src/vml.h
+++ b/src/vml.h
@@ -63,7 +63,7 @@
 /*
  * Entry addresses for a caller, best first: its own zone, then its region,
  * then the others; only what is needed for two that live.  Leaving VMs, and
- * those from which heartbeats stopped, come only when no other is left.
+ * those from which heartbeats stopped, all come when no other is left.
  * zone or region may be unknown (-1).  Returns the count, at most max.
  */
 int vml_resolve(const Vml *l, int zone, int region, const char **out, int max,
