Wait for the port in the tests' upstreams

The upstream of the test before was still being killed, so the new one could not bind its port ("Address already in use" in the log), while rig_wait_port connected to the dying one.

Change: the upstream tries for 5 s to bind, and says by a pipe that it listens; a test no longer takes a connection to an older upstream for it.

--- a/tests/rig.h
+++ b/tests/rig.h
@@ -382,29 +382,60 @@
     return NULL;
 }
 
-/* Starts a programmable upstream in a child process. */
+/* Listens on a port that the upstream of the test before may still hold: its
+ * process is killed when that test has ended, which takes a moment. */
+static inline int
+rig_listen(int port)
+{
+    struct sockaddr_in a = {.sin_family = AF_INET,
+                            .sin_port = htons((uint16_t)port),
+                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    int s = socket(AF_INET, SOCK_STREAM, 0);
+    int one = 1;
+
+    setsockopt(s, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    int rc = bind(s, (struct sockaddr *)&a, sizeof(a));
+    for (int i = 0; i < 500 && rc != 0; i++) {
+        g_usleep(10000);
+        rc = bind(s, (struct sockaddr *)&a, sizeof(a));
+    }
+    if (rc != 0 || listen(s, 512) != 0) {
+        perror("rig: upstream");
+        _exit(1);
+    }
+    return s;
+}
+
+/* Starts a programmable upstream in a child process, and waits until that
+ * process listens: a connection alone may be one of an older upstream. */
 static inline pid_t
 rig_upstream(const UpPlan *plan)
 {
-    pid_t pid = fork();
+    int ready[2];
+    char byte = 0;
     static gint count;
 
+    if (pipe(ready) != 0) {
+        perror("rig: pipe");
+        abort();
+    }
+    pid_t pid = fork();
     if (pid != 0) {
-        rig_wait_port(plan->port);
+        close(ready[1]);
+        if (read(ready[0], &byte, 1) != 1) {
+            fprintf(stderr, "rig: upstream %d did not start\n", plan->port);
+            abort();
+        }
+        close(ready[0]);
         return pid;
     }
     signal(SIGPIPE, SIG_IGN);
-    struct sockaddr_in a = {.sin_family = AF_INET,
-                            .sin_port = htons((uint16_t)plan->port),
-                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    int s = socket(AF_INET, SOCK_STREAM, 0);
-    int one = 1;
-    setsockopt(s, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-    if (bind(s, (struct sockaddr *)&a, sizeof(a)) != 0 ||
-        listen(s, 512) != 0) {
-        perror("rig: upstream");
+    int s = rig_listen(plan->port);
+    if (write(ready[1], &byte, 1) != 1) {
         _exit(1);
     }
+    close(ready[0]);
+    close(ready[1]);
     for (;;) {
         UpConn *c = g_new0(UpConn, 1);
         c->plan = plan;
