Reset the connection of a request that is given up

The connection was closed in the regular way, after which the kernel still delivers what the partition held up.

Change: connections with an unanswered request are reset, those to the store too.

Result: test_uconn fails before (the upstream reads all 16 MB after the cancellation) and passes after.

--- a/src/kv.c
+++ b/src/kv.c
@@ -39,11 +39,12 @@
     }
 }
 
+/* A call without an answer must not reach the store later. */
 static void
 drop(KvConn *c)
 {
     if (c->open) {
-        strm_close(&c->strm);
+        strm_abort(&c->strm);
         c->open = false;
     }
 }
--- a/src/strm.c
+++ b/src/strm.c
@@ -216,6 +216,17 @@
     s->out = NULL;
 }
 
+void
+strm_abort(Strm *s)
+{
+    struct linger now = {.l_onoff = 1, .l_linger = 0};
+
+    if (s->open) {
+        setsockopt(s->ev.fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+        strm_close(s);
+    }
+}
+
 int
 strm_listen(const struct sockaddr_in *at, Err *e)
 {
--- a/src/strm.h
+++ b/src/strm.h
@@ -55,6 +55,10 @@
 /* Holds back or resumes reads; the peer's end is then seen late. */
 void strm_pause(Strm *s, bool paused);
 void strm_close(Strm *s);
+/* Closes with a reset.  What the peer has not received yet is dropped; after
+ * strm_close() the kernel would still deliver it, seconds later where the
+ * network holds it up. */
+void strm_abort(Strm *s);
 
 /* Opens a listening socket, or returns -1 with ERR_IO. */
 int strm_listen(const struct sockaddr_in *at, Err *e);
--- a/src/uconn.c
+++ b/src/uconn.c
@@ -28,7 +28,8 @@
     bool reused;
     bool to_head; /* the request was HEAD: its answer has no body */
     bool sent;
-    bool spoiled; /* bytes of another request came */
+    bool under_way; /* a request was sent and its answer is not complete */
+    bool spoiled;   /* bytes of another request came */
     bool idle;
     bool gone;
     GList link;
@@ -66,7 +67,12 @@
     }
     g_queue_unlink(&c->pool->all, &c->all_link);
     c->u->n_conns--;
-    strm_close(&c->strm);
+    if (c->under_way) {
+        strm_abort(&c->strm);
+    }
+    else {
+        strm_close(&c->strm);
+    }
     evl_later(c->pool->loop, release, c);
 }
 
@@ -265,6 +271,7 @@
     GByteArray *q = c->queued;
 
     c->sent = true;
+    c->under_way = true;
     c->to_head = to_head;
     g_byte_array_append(q, head, (guint)n);
     g_byte_array_append(q, body, (guint)body_n);
@@ -330,6 +337,7 @@
     H1 *a = &c->answer;
 
     c->fn = NULL;
+    c->under_way = false;
     if (a->state != H1_DONE || !a->keep || c->spoiled || c->strm.ended ||
         c->strm.in->len > 0 || c->strm.out->len > 0 ||
         c->u->state != UPS_READY) {
