--- /dev/null
+++ b/src/beats.c
@@ -0,0 +1,202 @@
+/* beats - what this VM tells the others.  See beats.h. */
+#include "beats.h"
+
+#include <string.h>
+
+#define FANOUT_NEAR 4 /* heartbeats to VMs of the own region */
+#define FANOUT_FAR 2
+/* VMs up to which a region shares news.  In a larger one each zone does, as
+ * bytes between zones are priced and would grow as the square. */
+#define NEWS_REGION_VMS 8
+
+struct Beats {
+    BeatsOpts o;
+    int64_t told;
+};
+
+Beats *
+beats_new(const BeatsOpts *o)
+{
+    Beats *b = g_new0(Beats, 1);
+
+    b->o = *o;
+    return b;
+}
+
+void
+beats_free(Beats *b)
+{
+    g_free(b);
+}
+
+int64_t
+beats_told(const Beats *b)
+{
+    return b->told;
+}
+
+static bool
+is_self(const Beats *b, const Vm *v)
+{
+    return strcmp(v->id, b->o.vm_id) == 0;
+}
+
+static void
+add_need(void *ctx, const DemandService *s)
+{
+    PeerBeat *p = ctx;
+
+    if (p->n_needs < PEER_SERVICES_MAX) {
+        p->needs[p->n_needs++] = (PeerNeed){s->id, demand_own(s)};
+    }
+}
+
+static void
+add_objects(const Beats *b, PeerBeat *p)
+{
+    PlanObject list[PEER_OBJECTS_MAX];
+    int n = plan_news(b->o.plan, list, PEER_OBJECTS_MAX);
+
+    for (int i = 0; i < n; i++) {
+        for (int k = 0; k < p->n_needs; k++) {
+            if (p->needs[k].service == list[i].service) {
+                p->objects[p->n_objects++] =
+                    (PeerObject){k, list[i].object, list[i].weight};
+            }
+        }
+    }
+}
+
+static void
+add_crashes(const Beats *b, PeerBeat *p, int64_t now_us)
+{
+    CrashNews list[PEER_CRASHES_MAX];
+    int n = crash_news(b->o.crashes, list, PEER_CRASHES_MAX, now_us);
+
+    for (int i = 0; i < n; i++) {
+        p->crashes[p->n_crashes++] = (PeerCrash){list[i].print, list[i].id};
+    }
+}
+
+static void
+send_one(const Beats *b, PeerBeat *p, const Vm *v)
+{
+    char buf[PEER_BYTES_MAX];
+
+    p->echo_us = v->sent_us;
+    p->held_us = p->sent_us - v->heard_us;
+    size_t n = peer_encode(p, buf, sizeof(buf));
+    peer_send(b->o.peer, &v->peer, buf, n);
+}
+
+/* Sends to some VMs, near or far: all of them in a small fleet, else a random
+ * choice. */
+static void
+send_some(const Beats *b, PeerBeat *p, bool near, int fanout)
+{
+    int left = 0;
+
+    for (int pass = 0; pass < 2; pass++) {
+        for (int i = 0; i < vml_count(b->o.vms) && fanout > 0; i++) {
+            const Vm *v = vml_at(b->o.vms, i);
+            if ((v->region == b->o.region) != near || is_self(b, v)) {
+                continue;
+            }
+            if (pass == 0) {
+                left++;
+                continue;
+            }
+            /* Selection sampling: each choice of that size is as likely. */
+            if (g_rand_int_range(b->o.rnd, 0, left) < fanout) {
+                send_one(b, p, v);
+                fanout--;
+            }
+            left--;
+        }
+    }
+}
+
+void
+beats_send(Beats *b, bool leaving, int64_t now_us)
+{
+    PeerBeat p = {
+        .boot_ms = b->o.boot_ms, .leaving = leaving, .sent_us = now_us};
+
+    g_strlcpy(p.vm, b->o.vm_id, sizeof(p.vm));
+    demand_each(b->o.demand, add_need, &p);
+    add_objects(b, &p);
+    add_crashes(b, &p, now_us);
+    send_some(b, &p, true, FANOUT_NEAR);
+    send_some(b, &p, false, FANOUT_FAR);
+}
+
+static void
+take_state(const Beats *b, Vm *v, const PeerBeat *in, int64_t now_us)
+{
+    int64_t rtt_us = now_us - in->echo_us - in->held_us;
+
+    if (v->leaving != in->leaving) {
+        dlog_event(b->o.log, DLOG_INFO, "vm",
+                   "id=%s event=heartbeat leaving=%d", v->id,
+                   in->leaving ? 1 : 0);
+    }
+    if (in->echo_us > 0 && rtt_us > 0) {
+        vml_saw_rtt(v, rtt_us);
+    }
+    v->heard_us = now_us;
+    v->sent_us = in->sent_us;
+    v->leaving = in->leaving;
+    v->boot_ms = in->boot_ms;
+}
+
+void
+beats_take(Beats *b, const PeerBeat *in, int64_t now_us)
+{
+    Vm *v = vml_find(b->o.vms, str_of(in->vm));
+
+    if (v == NULL || in->boot_ms < v->boot_ms) {
+        return;
+    }
+    take_state(b, v, in, now_us);
+    for (int i = 0; i < in->n_needs; i++) {
+        demand_heard(b->o.demand, v->key, v->region, in->needs[i].service,
+                     in->needs[i].slots, now_us);
+    }
+    for (int i = 0; i < in->n_crashes; i++) {
+        CrashNews n = {in->crashes[i].print, in->crashes[i].id};
+        crash_learn(b->o.crashes, &n, now_us);
+    }
+    for (int i = 0; i < in->n_objects; i++) {
+        const PeerObject *x = &in->objects[i];
+        plan_learn(b->o.plan, in->needs[x->need].service, x->object, x->weight,
+                   now_us);
+    }
+}
+
+static int
+vms_of_region(const Beats *b)
+{
+    int n = 0;
+
+    for (int i = 0; i < vml_count(b->o.vms); i++) {
+        n += vml_at(b->o.vms, i)->region == b->o.region ? 1 : 0;
+    }
+    return n;
+}
+
+void
+beats_tell(Beats *b, const NewsOut *o)
+{
+    char buf[NEWS_BYTES_MAX];
+    size_t n = news_encode(o, buf, sizeof(buf));
+    bool small = vms_of_region(b) <= NEWS_REGION_VMS;
+
+    for (int i = 0; i < vml_count(b->o.vms); i++) {
+        const Vm *v = vml_at(b->o.vms, i);
+        bool near = small ? v->region == b->o.region : v->zone == b->o.zone;
+        if (near && !is_self(b, v)) {
+            peer_send(b->o.peer, &v->peer, buf, n);
+            b->told++;
+        }
+    }
+}
--- a/src/edge.c
+++ b/src/edge.c
@@ -6,23 +6,22 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "beats.h"
 #include "caller.h"
 #include "demand.h"
 #include "dlog.h"
 #include "hash.h"
 #include "mirror.h"
-#include "peer.h"
 #include "pf.h"
 #include "px.h"
 #include "uconn.h"
+#include "view.h"
 #include "vml.h"
 
 #define LOG_LINES_PER_S 60.0 /* about 20 KB/s and 1 % of a small machine */
 #define LOG_BUFFER_BYTES (256 * 1024)
 #define TICK_US 250000 /* heartbeats, shares, expiry, log */
 #define BEAT_US 500000
-#define FANOUT_NEAR 4 /* heartbeats to VMs of the own region */
-#define FANOUT_FAR 2
 #define LOOK_US 1000000 /* at the settings file */
 #define GONE_GRACE_US                                                         \
     2000000                   /* entries come back within that after a stop   \
@@ -55,7 +54,9 @@
     Crashes *crashes;
     Vml *vms;
     GArray *shares; /* PickVm of vms */
+    View *view;
     Peer *peer;
+    Beats *beats;
     Mirror *mirror;
     Px *px;
     CallerSet *callers;
@@ -70,7 +71,6 @@
     int64_t look_us;
     int64_t beat_us;
     int64_t suspended_us; /* boot time less steady time */
-    int64_t unreadable;
 };
 
 static void
@@ -91,8 +91,10 @@
 }
 
 static void
-share_vms(Edge *g)
+share_vms(void *ctx)
 {
+    Edge *g = ctx;
+
     g_array_set_size(g->shares, 0);
     for (int i = 0; i < vml_count(g->vms); i++) {
         PickVm v = {vml_at(g->vms, i)->key, vml_at(g->vms, i)->region};
@@ -103,159 +105,22 @@
 }
 
 static void
-take_config(Edge *g, Str text)
-{
-    Err e = {0};
-    const RtTable *old = px_routes(g->px);
-    RtTable *t = pf_config(text, &e);
-
-    if (t == NULL) {
-        dlog_event(g->log, DLOG_WARN, "config",
-                   "event=unreadable in_force=%" PRIu64 " error=\"%s\"",
-                   old == NULL ? 0 : rt_version(old), e.text);
-        return;
-    }
-    if (old == NULL || rt_version(t) > rt_version(old)) {
-        dlog_event(g->log, DLOG_INFO, "config",
-                   "event=in_force version=%" PRIu64 " before=%" PRIu64,
-                   rt_version(t), old == NULL ? 0 : rt_version(old));
-        for (int i = 0; i < rt_n_services(t); i++) {
-            demand_service(g->demand, rt_service(t, i)->id);
-        }
-        callers_limits(g->callers, rt_limits(t));
-        px_set_routes(g->px, t);
-    }
-    rt_unref(t);
-}
-
-static Ups *
-find_upstream(Edge *g, uint64_t service, Str id)
-{
-    const GPtrArray *list = ups_of_service(g->upstreams, service);
-
-    for (guint i = 0; list != NULL && i < list->len; i++) {
-        Ups *u = g_ptr_array_index(list, i);
-        if (str_eqz(id, u->id)) {
-            return u;
-        }
-    }
-    return NULL;
-}
-
-static void
-take_upstream(Edge *g, Str id, Str text, uint64_t rev, int64_t now_us)
-{
-    static const char *const names[] = {"same",    "added", "restarted",
-                                        "leaving", "back",  "unusable"};
-    UpsReport r;
-    gpointer keep = NULL;
-    Err e = {0};
-
-    if (!pf_upstream(id, text, &r, &keep, &e)) {
-        g->unreadable++;
-        dlog_event(g->log, DLOG_WARN, "upstream",
-                   "id=%.*s event=unreadable rev=%" PRIu64 " error=\"%s\"",
-                   (int)id.n, id.p, rev, e.text);
-        ups_missing(g->upstreams, id, now_us);
-        pf_release(keep);
-        return;
-    }
-    UpsChange ch = ups_report(g->upstreams, &r, now_us);
-    if (ch == UPS_RESTARTED) {
-        Ups *u = find_upstream(g, hash_str(r.service, 0), id);
-        if (u != NULL) {
-            uconns_drop(g->pool, u);
-        }
-    }
-    if (ch != UPS_SAME) {
-        dlog_event(g->log, DLOG_INFO, "upstream",
-                   "id=%.*s event=%s service=%.*s zone=%.*s rev=%" PRIu64
-                   " cold_ms=%" PRId64,
-                   (int)id.n, id.p, names[ch], (int)r.service.n, r.service.p,
-                   (int)r.zone.n, r.zone.p, rev, r.warmup_left_us / 1000);
-    }
-    pf_release(keep);
-}
-
-static void
-take_vm(Edge *g, Str id, Str text)
-{
-    Vm v;
-    Err e = {0};
-
-    if (!vml_read(&v, id, text, &g->set.places, &e)) {
-        dlog_event(g->log, DLOG_WARN, "vm",
-                   "id=%.*s event=unreadable "
-                   "error=\"%s\"",
-                   (int)id.n, id.p, e.text);
-        return;
-    }
-    dlog_event(g->log, DLOG_INFO, "vm",
-               "id=%s event=listed leaving=%d boot=%" PRIu64, v.id,
-               v.leaving ? 1 : 0, v.boot_ms);
-    vml_put(g->vms, &v);
-    share_vms(g);
-}
-
-static void
-take_drain(Edge *g, Str name, bool drained, uint64_t rev, int64_t now_us)
+on_routes(void *ctx, RtTable *t)
 {
-    int zone = places_zone(&g->set.places, name);
+    Edge *g = ctx;
 
-    if (zone < 0) {
-        return;
+    for (int i = 0; i < rt_n_services(t); i++) {
+        demand_service(g->demand, rt_service(t, i)->id);
     }
-    dlog_event(g->log, DLOG_INFO, "zone", "id=%s event=%s rev=%" PRIu64,
-               g->set.places.zones[zone], drained ? "drained" : "returned",
-               rev);
-    ups_drain_zone(g->upstreams, zone, drained, now_us);
+    callers_limits(g->callers, rt_limits(t));
+    px_set_routes(g->px, t);
 }
 
-static void
+static bool
 on_item(void *ctx, const char *key, GBytes *value, uint64_t rev,
         int64_t now_us)
 {
-    Edge *g = ctx;
-    Str name;
-    Str text = {NULL, 0};
-    PfKind kind = pf_key(key, &name);
-
-    if (value != NULL) {
-        text.p = g_bytes_get_data(value, &text.n);
-    }
-    switch (kind) {
-    case PF_CONFIG:
-        if (value != NULL) {
-            take_config(g, text);
-        }
-        break;
-    case PF_UPSTREAM:
-        if (value != NULL) {
-            take_upstream(g, name, text, rev, now_us);
-            break;
-        }
-        dlog_event(g->log, DLOG_INFO, "upstream",
-                   "id=%.*s event=missing rev=%" PRIu64, (int)name.n, name.p,
-                   rev);
-        ups_missing(g->upstreams, name, now_us);
-        break;
-    case PF_DRAIN:
-        take_drain(g, name, value != NULL, rev, now_us);
-        break;
-    case PF_VM:
-        if (value != NULL) {
-            take_vm(g, name, text);
-            break;
-        }
-        dlog_event(g->log, DLOG_INFO, "vm", "id=%.*s event=gone rev=%" PRIu64,
-                   (int)name.n, name.p, rev);
-        vml_remove(g->vms, name);
-        share_vms(g);
-        break;
-    case PF_OTHER:
-        break;
-    }
-    ups_expire(g->upstreams, now_us);
+    return view_item(((Edge *)ctx)->view, key, value, rev, now_us);
 }
 
 static void
@@ -276,129 +141,21 @@
 }
 
 static void
-on_beat(void *ctx, const PeerBeat *b, int64_t now_us)
+on_tell(void *ctx, const NewsOut *o)
 {
-    Edge *g = ctx;
-    Vm *v = vml_find(g->vms, str_of(b->vm));
-
-    if (v == NULL || b->boot_ms < v->boot_ms) {
-        return;
-    }
-    if (v->leaving != b->leaving) {
-        dlog_event(g->log, DLOG_INFO, "vm", "id=%s event=heartbeat leaving=%d",
-                   v->id, b->leaving ? 1 : 0);
-    }
-    if (b->echo_us > 0 && now_us - b->echo_us - b->held_us > 0) {
-        vml_saw_rtt(v, now_us - b->echo_us - b->held_us);
-    }
-    v->heard_us = now_us;
-    v->sent_us = b->sent_us;
-    v->leaving = b->leaving;
-    v->boot_ms = b->boot_ms;
-    for (int i = 0; i < b->n_needs; i++) {
-        demand_heard(g->demand, v->key, v->region, b->needs[i].service,
-                     b->needs[i].slots, now_us);
-    }
-    for (int i = 0; i < b->n_crashes; i++) {
-        CrashNews n = {b->crashes[i].print, b->crashes[i].id};
-        crash_learn(g->crashes, &n, now_us);
-    }
-    for (int i = 0; i < b->n_objects; i++) {
-        const PeerObject *o = &b->objects[i];
-        plan_learn(g->plan, b->needs[o->need].service, o->object, o->weight,
-                   now_us);
-    }
+    beats_tell(((Edge *)ctx)->beats, o);
 }
 
 static void
-add_need(void *ctx, const DemandService *s)
-{
-    PeerBeat *b = ctx;
-
-    if (b->n_needs < PEER_SERVICES_MAX) {
-        b->needs[b->n_needs++] = (PeerNeed){s->id, demand_own(s)};
-    }
-}
-
-static void
-add_objects(Edge *g, PeerBeat *b)
-{
-    PlanObject list[PEER_OBJECTS_MAX];
-    int n = plan_news(g->plan, list, PEER_OBJECTS_MAX);
-
-    for (int i = 0; i < n; i++) {
-        for (int k = 0; k < b->n_needs; k++) {
-            if (b->needs[k].service == list[i].service) {
-                b->objects[b->n_objects++] =
-                    (PeerObject){k, list[i].object, list[i].weight};
-            }
-        }
-    }
-}
-
-static void
-add_crashes(Edge *g, PeerBeat *b)
-{
-    CrashNews list[PEER_CRASHES_MAX];
-    int n = crash_news(g->crashes, list, PEER_CRASHES_MAX, evl_now(g->loop));
-
-    for (int i = 0; i < n; i++) {
-        b->crashes[b->n_crashes++] = (PeerCrash){list[i].print, list[i].id};
-    }
-}
-
-static void
-send_beat(Edge *g, PeerBeat *b, const Vm *v)
+on_beat(void *ctx, const PeerBeat *b, int64_t now_us)
 {
-    char buf[PEER_BYTES_MAX];
-
-    b->echo_us = v->sent_us;
-    b->held_us = b->sent_us - v->heard_us;
-    size_t n = peer_encode(b, buf, sizeof(buf));
-    peer_send(g->peer, &v->peer, buf, n);
+    beats_take(((Edge *)ctx)->beats, b, now_us);
 }
 
-/* Sends to some VMs, near or far: all of them in a small fleet, else a random
- * choice, so that the bytes of a VM do not grow with the fleet. */
 static void
-send_some(Edge *g, PeerBeat *b, bool near, int fanout)
+on_news(void *ctx, const News *w, int64_t now_us)
 {
-    int region = g->set.places.region_of[g->set.zone];
-    int left = 0;
-
-    for (int pass = 0; pass < 2; pass++) {
-        for (int i = 0; i < vml_count(g->vms) && fanout > 0; i++) {
-            const Vm *v = vml_at(g->vms, i);
-            if ((v->region == region) != near ||
-                strcmp(v->id, g->set.vm_id) == 0) {
-                continue;
-            }
-            if (pass == 0) {
-                left++;
-                continue;
-            }
-            /* Selection sampling: each choice of that size is as likely. */
-            if (g_rand_int_range(g->rnd, 0, left) < fanout) {
-                send_beat(g, b, v);
-                fanout--;
-            }
-            left--;
-        }
-    }
-}
-
-static void
-send_beats(Edge *g)
-{
-    PeerBeat b = {.boot_ms = g->boot_ms, .leaving = g->leaving};
-
-    g_strlcpy(b.vm, g->set.vm_id, sizeof(b.vm));
-    demand_each(g->demand, add_need, &b);
-    add_objects(g, &b);
-    add_crashes(g, &b);
-    b.sent_us = evl_now(g->loop);
-    send_some(g, &b, true, FANOUT_NEAR);
-    send_some(g, &b, false, FANOUT_FAR);
+    mirror_hear(((Edge *)ctx)->mirror, w, now_us);
 }
 
 /* A suspended machine wakes with an old view. */
@@ -485,7 +242,7 @@
     plan_step(g->plan, g->upstreams, now_us);
     if (now_us - g->beat_us >= BEAT_US) {
         g->beat_us = now_us;
-        send_beats(g);
+        beats_send(g->beats, g->leaving, now_us);
     }
     look_for_suspension(g, now_us);
     if (now_us - g->look_us >= LOOK_US) {
@@ -535,12 +292,15 @@
     g_string_append_printf(t,
                            "edge_config_version %" PRIu64 "\nedge_vms %d\n"
                            "edge_store_calls_total %" PRId64
+                           "\nedge_watches_put_off_total %" PRId64
+                           "\nedge_news_sent_total %" PRId64
                            "\nedge_callers %d\n"
                            "edge_bad_heartbeats_total %" PRId64
                            "\nedge_unreadable_entries_total %" PRId64 "\n",
                            rt == NULL ? 0 : rt_version(rt), vml_count(g->vms),
-                           mirror_calls(g->mirror), callers_open(g->callers),
-                           peer_bad(g->peer), g->unreadable);
+                           mirror_calls(g->mirror), mirror_put_off(g->mirror),
+                           beats_told(g->beats), callers_open(g->callers),
+                           peer_bad(g->peer), view_unreadable(g->view));
     caller_answer(c, str_of("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"),
                   t->str, t->len);
     g_string_free(t, TRUE);
@@ -606,6 +366,7 @@
 static bool
 open_listeners(Edge *g, Err *e)
 {
+    const PeerFns fns = {on_beat, on_news};
     CallerOpts o = {
         .loop = g->loop,
         .at = g->set.requests,
@@ -624,7 +385,7 @@
     g->metrics =
         g->directory == NULL ? NULL : open_endpoint(g, &g->set.metrics, e);
     if (g->metrics != NULL) {
-        g->peer = peer_new(g->loop, &g->set.peers, on_beat, g, e);
+        g->peer = peer_new(g->loop, &g->set.peers, &fns, g, e);
     }
     return g->peer != NULL;
 }
@@ -669,6 +430,36 @@
         .rnd = g->rnd,
     };
     g->px = px_new(&po);
+    ViewOpts vo = {
+        .log = g->log,
+        .places = pl,
+        .upstreams = g->upstreams,
+        .pool = g->pool,
+        .vms = g->vms,
+        .fns = {on_routes, share_vms},
+        .ctx = g,
+    };
+    g->view = view_new(&vo);
+}
+
+static void
+start_beats(Edge *g)
+{
+    BeatsOpts bo = {
+        .log = g->log,
+        .peer = g->peer,
+        .vms = g->vms,
+        .demand = g->demand,
+        .plan = g->plan,
+        .crashes = g->crashes,
+        .rnd = g->rnd,
+        .vm_id = g->set.vm_id,
+        .zone = g->set.zone,
+        .region = g->set.places.region_of[g->set.zone],
+        .boot_ms = g->boot_ms,
+    };
+
+    g->beats = beats_new(&bo);
 }
 
 static void
@@ -682,7 +473,7 @@
         .prefixes = pf_prefixes,
         .rnd = g->rnd,
         .notice_us = MIN(g->set.drain_us, g->set.config_us),
-        .fns = {on_item, on_view, on_trouble},
+        .fns = {on_item, on_view, on_trouble, on_tell},
         .ctx = g,
     };
 
@@ -709,6 +500,7 @@
         return NULL;
     }
     edge_reload(g);
+    start_beats(g);
     start_mirror(g);
     dlog_event(g->log, DLOG_INFO, "vm",
                "id=%s event=started zone=%s boot=%" PRIu64, g->set.vm_id,
@@ -729,10 +521,12 @@
     if (g->peer != NULL) {
         peer_free(g->peer);
     }
+    beats_free(g->beats);
     callers_free(g->metrics);
     callers_free(g->directory);
     callers_free(g->ready);
     callers_free(g->callers);
+    view_free(g->view);
     px_free(g->px);
     uconns_free(g->pool);
     crash_free(g->crashes);
@@ -761,6 +555,6 @@
     if (v != NULL) {
         v->leaving = true;
     }
-    send_beats(g);
+    beats_send(g->beats, true, g->leave_us);
     write_record(g);
 }
--- a/src/evl.c
+++ b/src/evl.c
@@ -119,9 +119,8 @@
     timer_up(l, t->slot);
 }
 
-/* Milliseconds until the next timer; -1: none. */
-static int
-time_to_timer(const Evl *l)
+int
+evl_wait_ms(const Evl *l)
 {
     if (l->timers->len <= 1) {
         return -1;
@@ -151,13 +150,25 @@
     g_array_set_size(l->later, 0);
 }
 
-static void
-turn(Evl *l)
+int
+evl_fd(const Evl *l)
 {
-    struct epoll_event evs[EVENTS_PER_TURN];
-    int n = epoll_wait(l->epoll_fd, evs, EVENTS_PER_TURN, time_to_timer(l));
+    return l->epoll_fd;
+}
 
+void
+evl_refresh(Evl *l)
+{
     l->now_us = clock_us(CLOCK_MONOTONIC);
+}
+
+void
+evl_turn(Evl *l, int wait_ms)
+{
+    struct epoll_event evs[EVENTS_PER_TURN];
+    int n = epoll_wait(l->epoll_fd, evs, EVENTS_PER_TURN, wait_ms);
+
+    evl_refresh(l);
     for (int i = 0; i < n; i++) {
         deliver(l, &evs[i]);
     }
@@ -200,7 +211,7 @@
 {
     l->stopped = false;
     while (!l->stopped) {
-        turn(l);
+        evl_turn(l, evl_wait_ms(l));
     }
 }
 
--- a/src/evl.h
+++ b/src/evl.h
@@ -42,6 +42,16 @@
 void evl_run(Evl *l);
 void evl_stop(Evl *l);
 
+/* Runs one turn that waits no longer than wait_ms; for a loop that is driven
+ * by another one (evlsrc). */
+void evl_turn(Evl *l, int wait_ms);
+/* Readable when a descriptor has events. */
+int evl_fd(const Evl *l);
+/* Milliseconds until the next timer; -1: none. */
+int evl_wait_ms(const Evl *l);
+/* Reads the clock anew, where a turn of another loop has taken time. */
+void evl_refresh(Evl *l);
+
 /* Steady time in microseconds, read once per turn. */
 int64_t evl_now(const Evl *l);
 
--- a/src/kv.c
+++ b/src/kv.c
@@ -134,7 +134,8 @@
     h1_next(&c->answer);
     if (!c->open) {
         c->open =
-            strm_connect(&c->strm, c->loop, &c->at, UNACKED_MS, on_stream, c);
+            strm_connect(&c->strm, c->loop, (const struct sockaddr *)&c->at,
+                         UNACKED_MS, on_stream, c);
     }
     if (c->open) {
         strm_write(&c->strm, request->str, request->len);
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -3,17 +3,11 @@
 
 #include <string.h>
 
-/* Parts of the time in which a change has to be known.  Events gather in the
- * pause between two watches, since each call is priced.  A connection that
- * went silent is given up after the time limit, and the sum leaves a reserve
- * for the next call. */
-#define WATCH_PAUSE_PART 0.35
-#define WATCH_WAIT_PART 0.1
-#define WATCH_TIMEOUT_PART 0.4
 #define CALL_TIMEOUT_US 1000000
 #define BACKOFF_MIN_US 150000
 #define BACKOFF_MAX_US 600000
 #define RELIST_US 250000
+#define GAP_US 100000 /* until the watch after a gap in the news, at most */
 #define LEASE_TTL_US 4000000
 #define LEASE_KEEP_US 1600000 /* one renewal may fail */
 
@@ -23,11 +17,15 @@
     KvConn *conn;
     EvlTimer timer;
     bool listing;
-    bool listed;    /* complete at least once */
-    char *after;    /* last key of the page before */
-    uint64_t rev;   /* to watch from */
-    uint32_t round; /* of listing */
-    bool doubt;     /* the last list lacked known keys */
+    bool listed;        /* complete at least once */
+    char *after;        /* last key of the page before */
+    uint64_t rev;       /* to watch from */
+    uint32_t round;     /* of listing */
+    bool doubt;         /* the last list lacked known keys */
+    bool pausing;       /* the timer runs for the next watch */
+    bool hinted;        /* a gap was told: the others watch too */
+    int64_t began_us;   /* boot time at the start of the call */
+    int64_t trouble_us; /* when a call failed; steady time */
     int64_t backoff_us;
     bool failing;
     GHashTable *keys; /* key -> round in which it was seen */
@@ -39,6 +37,7 @@
     int n_feeds;
     bool ready;
     int64_t calls;
+    int64_t put_off;
     KvConn *conn; /* for the record */
     EvlTimer timer;
     char *key;
@@ -58,12 +57,6 @@
     return (int64_t)((double)us * g_rand_double_range(m->o.rnd, 0.7, 1.3));
 }
 
-static int64_t
-part_of(const Mirror *m, double part)
-{
-    return (int64_t)((double)m->o.notice_us * part);
-}
-
 static void
 feed_later(Feed *f, int64_t us)
 {
@@ -80,6 +73,8 @@
                    status);
     }
     f->m->o.fns.trouble(f->m->o.ctx, now_us);
+    f->trouble_us = now_us;
+    f->hinted = false;
     f->backoff_us = CLAMP(f->backoff_us * 2, BACKOFF_MIN_US, BACKOFF_MAX_US);
     feed_later(f, f->backoff_us);
 }
@@ -110,7 +105,8 @@
     }
 }
 
-static void
+/* Returns true when other VMs have to know it. */
+static bool
 apply(Feed *f, const KvItem *it, int64_t now_us)
 {
     Mirror *m = f->m;
@@ -125,16 +121,22 @@
         g_hash_table_replace(f->keys, g_strdup(it->key),
                              GUINT_TO_POINTER(f->round));
     }
-    m->o.fns.item(m->o.ctx, it->key, it->deleted ? NULL : it->value, it->rev,
-                  now_us);
+    return m->o.fns.item(m->o.ctx, it->key, it->deleted ? NULL : it->value,
+                         it->rev, now_us);
 }
 
+/* Applies what is newer than the view and adds to "told", if not NULL, what
+ * other VMs have to know.  Events may come twice, by a watch and as news. */
 static void
-apply_page(Feed *f, const KvPage *p, int64_t now_us)
+apply_events(Feed *f, const KvPage *p, GPtrArray *told, int64_t now_us)
 {
     for (guint i = 0; i < p->items->len; i++) {
-        apply(f, &g_array_index(p->items, KvItem, i), now_us);
+        KvItem *it = &g_array_index(p->items, KvItem, i);
+        if (it->rev > f->rev && apply(f, it, now_us) && told != NULL) {
+            g_ptr_array_add(told, it);
+        }
     }
+    f->rev = MAX(f->rev, p->rev);
 }
 
 /* Removes the keys that this list and the one before it lack. */
@@ -216,7 +218,9 @@
         /* Changes during the listing come again by the watch. */
         f->rev = p.rev;
     }
-    apply_page(f, &p, now_us);
+    for (guint i = 0; i < p.items->len; i++) {
+        apply(f, &g_array_index(p.items, KvItem, i), now_us);
+    }
     if (p.more && p.items->len > 0) {
         g_free(f->after);
         f->after =
@@ -242,6 +246,70 @@
             on_list, f);
 }
 
+static void
+feed_pause(Feed *f, bool heard, int64_t now_us)
+{
+    Mirror *m = f->m;
+    double dice = g_rand_double(m->o.rnd);
+
+    f->pausing = true;
+    evl_arm(m->o.loop, &f->timer,
+            now_us + news_pause_us(m->o.notice_us, heard, dice));
+}
+
+/* Applies the events of a watch and tells them to the VMs near by. */
+static void
+take_events(Feed *f, const KvPage *p, int64_t now_us)
+{
+    Mirror *m = f->m;
+    GPtrArray *told = g_ptr_array_new();
+    uint64_t from = f->rev;
+
+    apply_events(f, p, told, now_us);
+    int64_t calm_us = f->trouble_us == 0 ? INT64_MAX : now_us - f->trouble_us;
+    if (!f->hinted &&
+        news_worth_telling(m->o.notice_us, evl_boottime() - f->began_us,
+                           calm_us)) {
+        NewsOut o = {.feed = (int)(f - m->feeds),
+                     .from = from,
+                     .to = f->rev,
+                     .items = (const KvItem *const *)told->pdata,
+                     .n = (int)told->len};
+        m->o.fns.tell(m->o.ctx, &o);
+    }
+    g_ptr_array_free(told, TRUE);
+}
+
+void
+mirror_hear(Mirror *m, const News *w, int64_t now_us)
+{
+    if (w->feed < 0 || w->feed >= m->n_feeds) {
+        return;
+    }
+    Feed *f = &m->feeds[w->feed];
+    if (f->listing || !f->listed || f->doubt) {
+        return;
+    }
+    switch (news_use(f->rev, w->from, w->page.rev)) {
+    case NEWS_OLD:
+        break;
+    case NEWS_NEXT:
+        apply_events(f, &w->page, NULL, now_us);
+        if (f->pausing && !f->hinted) {
+            m->put_off++;
+            feed_pause(f, true, now_us);
+        }
+        break;
+    case NEWS_GAP:
+        if (f->pausing && !f->hinted) {
+            f->hinted = true;
+            evl_arm(m->o.loop, &f->timer,
+                    now_us + g_rand_int_range(m->o.rnd, 0, GAP_US));
+        }
+        break;
+    }
+}
+
 static void
 on_watch(void *ctx, int status, Str body, int64_t now_us)
 {
@@ -268,21 +336,23 @@
         feed_failed(f, "watch", status, now_us);
         return;
     }
-    apply_page(f, &p, now_us);
-    f->rev = MAX(f->rev, p.rev);
+    take_events(f, &p, now_us);
     kv_page_clear(&p);
     feed_works(f);
-    feed_later(f, part_of(f->m, WATCH_PAUSE_PART));
+    feed_pause(f, f->hinted, now_us);
+    f->hinted = false;
 }
 
 static void
 feed_watch(Feed *f)
 {
+    NewsTimes t = news_times(f->m->o.notice_us);
+
     f->m->calls++;
+    f->began_us = evl_boottime();
     kv_call(f->conn,
-            f->m->o.codec->watch(f->prefix, f->rev,
-                                 (int)(part_of(f->m, WATCH_WAIT_PART) / 1000)),
-            part_of(f->m, WATCH_TIMEOUT_PART), on_watch, f);
+            f->m->o.codec->watch(f->prefix, f->rev, (int)(t.wait_us / 1000)),
+            t.timeout_us, on_watch, f);
 }
 
 static void
@@ -291,6 +361,7 @@
     Feed *f = ctx;
     (void)now_us;
 
+    f->pausing = false;
     if (f->listing || !f->listed || f->doubt) {
         feed_list(f);
     }
@@ -461,3 +532,9 @@
 {
     return m->calls;
 }
+
+int64_t
+mirror_put_off(const Mirror *m)
+{
+    return m->put_off;
+}
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -4,7 +4,9 @@
  * Lists once, then watches; lists again when the store has forgotten the
  * history.  Serves on from memory while the store is away.  A key counts as
  * removed when an event says so or when two lists in a row lack it, since a
- * page may have a gap.  The VM's own record lives under a lease.
+ * page may have a gap.  The VM's own record lives under a lease.  What a
+ * watch brings is told to the VMs near by, and what they tell puts the own
+ * watch off (news).
  */
 #ifndef MIMOSA_MIRROR_H
 #define MIMOSA_MIRROR_H
@@ -16,15 +18,19 @@
 #include "dlog.h"
 #include "evl.h"
 #include "kv.h"
+#include "news.h"
 
 typedef struct MirrorFns {
-    /* value NULL: the key is removed. */
-    void (*item)(void *ctx, const char *key, GBytes *value, uint64_t rev,
+    /* value NULL: the key is removed.  Returns true when it changes what
+     * this VM believes and other VMs have to know it. */
+    bool (*item)(void *ctx, const char *key, GBytes *value, uint64_t rev,
                  int64_t now_us);
     /* The view is complete for the first time. */
     void (*ready)(void *ctx, int64_t now_us);
     /* A call failed; the view may be old. */
     void (*trouble)(void *ctx, int64_t now_us);
+    /* Changes to tell the VMs near by; good during the call only. */
+    void (*tell)(void *ctx, const NewsOut *o);
 } MirrorFns;
 
 typedef struct MirrorOpts {
@@ -50,7 +56,12 @@
 /* Ends the lease of the record, so that it goes at once. */
 void mirror_leave(Mirror *m);
 
+/* Takes changes that another VM read. */
+void mirror_hear(Mirror *m, const News *w, int64_t now_us);
+
 /* Calls made so far. */
 int64_t mirror_calls(const Mirror *m);
+/* Watches that news from another VM put off. */
+int64_t mirror_put_off(const Mirror *m);
 
 #endif
--- /dev/null
+++ b/src/news.c
@@ -0,0 +1,209 @@
+/* news - changes of the store, told to VMs near by.  See news.h. */
+#include "news.h"
+
+#include <string.h>
+
+#include <rpc/rpc.h>
+
+#define MAGIC 0x6d696e31U     /* "min1": format version 1 */
+#define HEAD_SIZE 28          /* magic, feed, from, to, count */
+#define ITEM_SIZE 20          /* revision, deleted, lengths */
+#define ITEMS_MAX 64          /* of a datagram */
+#define ITEM_KEY_BYTES 200    /* longest key of the store */
+#define ITEM_VALUE_BYTES 1100 /* what fits beside a short key */
+
+/* Parts of the time in which a change has to be known.  The VM that watches
+ * tells something after pause, wait and a round trip between regions (0.06),
+ * which is before the others' pause ends.  Where it fails, their pause and a
+ * round trip stay below the time.  A connection that went silent is given up
+ * after the time limit. */
+#define PAUSE_OWN_PART 0.20
+#define PAUSE_OWN_SPREAD_PART 0.05
+#define WAIT_PART 0.30
+#define TIMEOUT_PART 0.55
+#define PAUSE_HEARD_PART 0.62
+#define PAUSE_HEARD_SPREAD_PART 0.15
+#define AGE_PART 0.12 /* of what is told, beyond the wait */
+/* Around a disturbance of the store each VM has to see by itself that
+ * entries may be missing for a moment only. */
+#define CALM_US 4000000
+
+static size_t
+item_size(const KvItem *it)
+{
+    size_t n = it->value == NULL ? 0 : g_bytes_get_size(it->value);
+
+    return ITEM_SIZE + RNDUP(strlen(it->key)) + RNDUP(n);
+}
+
+static bool
+encode_item(XDR *x, const KvItem *it)
+{
+    u_quad_t rev = it->rev;
+    bool_t deleted = it->deleted ? TRUE : FALSE;
+    gsize n = 0;
+    const char *value =
+        it->value == NULL ? "" : g_bytes_get_data(it->value, &n);
+    char *key = it->key;
+    char *bytes = (char *)(uintptr_t)value;
+    u_int len = (u_int)n;
+
+    return xdr_u_int64_t(x, &rev) && xdr_bool(x, &deleted) &&
+           xdr_string(x, &key, ITEM_KEY_BYTES) &&
+           xdr_bytes(x, &bytes, &len, ITEM_VALUE_BYTES);
+}
+
+static bool
+fits(const NewsOut *o, size_t cap)
+{
+    size_t size = HEAD_SIZE;
+
+    for (int i = 0; i < o->n; i++) {
+        size += item_size(o->items[i]);
+    }
+    return o->n <= ITEMS_MAX && size <= cap;
+}
+
+size_t
+news_encode(const NewsOut *o, char *out, size_t cap)
+{
+    u_int magic = MAGIC;
+    int feed = o->feed;
+    bool whole = fits(o, MIN(cap, NEWS_BYTES_MAX));
+    /* Nobody knows more than "to", so that this is a gap to all. */
+    u_quad_t from = whole ? o->from : o->to;
+    u_quad_t to = o->to;
+    int n = whole ? o->n : 0;
+    XDR x;
+
+    xdrmem_create(&x, out, (u_int)cap, XDR_ENCODE);
+    bool ok = xdr_u_int(&x, &magic) && xdr_int(&x, &feed) &&
+              xdr_u_int64_t(&x, &from) && xdr_u_int64_t(&x, &to) &&
+              xdr_int(&x, &n);
+    for (int i = 0; ok && i < n; i++) {
+        ok = encode_item(&x, o->items[i]);
+    }
+    size_t len = ok ? xdr_getpos(&x) : 0;
+    xdr_destroy(&x);
+    return len;
+}
+
+bool
+news_is(const char *p, size_t n)
+{
+    uint32_t magic;
+
+    if (n < sizeof(magic)) {
+        return false;
+    }
+    memcpy(&magic, p, sizeof(magic));
+    return ntohl(magic) == MAGIC;
+}
+
+static bool
+decode_item(XDR *x, KvItem *out)
+{
+    char key[ITEM_KEY_BYTES + 1];
+    char value[ITEM_VALUE_BYTES];
+    char *k = key;
+    char *v = value;
+    u_quad_t rev;
+    bool_t deleted;
+    u_int len;
+
+    if (!xdr_u_int64_t(x, &rev) || !xdr_bool(x, &deleted) ||
+        !xdr_string(x, &k, ITEM_KEY_BYTES) ||
+        !xdr_bytes(x, &v, &len, ITEM_VALUE_BYTES)) {
+        return false;
+    }
+    *out = (KvItem){.key = g_strdup(key),
+                    .value = deleted ? NULL : g_bytes_new(value, len),
+                    .rev = rev,
+                    .deleted = deleted != FALSE};
+    return true;
+}
+
+static bool
+decode(XDR *x, News *w)
+{
+    u_int magic;
+    u_quad_t from;
+    u_quad_t to;
+    int n;
+
+    if (!xdr_u_int(x, &magic) || magic != MAGIC || !xdr_int(x, &w->feed) ||
+        !xdr_u_int64_t(x, &from) || !xdr_u_int64_t(x, &to) ||
+        !xdr_int(x, &n) || n < 0 || n > ITEMS_MAX) {
+        return false;
+    }
+    w->from = from;
+    w->page.rev = to;
+    for (int i = 0; i < n; i++) {
+        KvItem it;
+        if (!decode_item(x, &it)) {
+            return false;
+        }
+        g_array_append_val(w->page.items, it);
+    }
+    return true;
+}
+
+bool
+news_decode(News *w, const char *p, size_t n, Err *e)
+{
+    char buf[NEWS_BYTES_MAX];
+    XDR x;
+
+    memset(w, 0, sizeof(*w));
+    if (n > sizeof(buf)) {
+        return err_set(e, ERR_PROTOCOL, "news of %zu bytes", n);
+    }
+    memcpy(buf, p, n);
+    w->page.items = g_array_new(FALSE, TRUE, sizeof(KvItem));
+    xdrmem_create(&x, buf, (u_int)n, XDR_DECODE);
+    bool ok = decode(&x, w);
+    xdr_destroy(&x);
+    if (!ok) {
+        kv_page_clear(&w->page);
+        return err_set(e, ERR_PROTOCOL, "news are cut short or not ours");
+    }
+    return true;
+}
+
+NewsUse
+news_use(uint64_t rev, uint64_t from, uint64_t to)
+{
+    if (from > rev) {
+        return NEWS_GAP;
+    }
+    return to < rev ? NEWS_OLD : NEWS_NEXT;
+}
+
+static int64_t
+part_of(int64_t notice_us, double part)
+{
+    return (int64_t)((double)notice_us * part);
+}
+
+NewsTimes
+news_times(int64_t notice_us)
+{
+    return (NewsTimes){part_of(notice_us, WAIT_PART),
+                       part_of(notice_us, TIMEOUT_PART)};
+}
+
+int64_t
+news_pause_us(int64_t notice_us, bool heard, double dice)
+{
+    double part = heard ? PAUSE_HEARD_PART + PAUSE_HEARD_SPREAD_PART * dice
+                        : PAUSE_OWN_PART + PAUSE_OWN_SPREAD_PART * dice;
+
+    return part_of(notice_us, part);
+}
+
+bool
+news_worth_telling(int64_t notice_us, int64_t took_us, int64_t calm_us)
+{
+    return took_us <= part_of(notice_us, WAIT_PART + AGE_PART) &&
+           calm_us >= CALM_US;
+}
--- a/src/peer.c
+++ b/src/peer.c
@@ -16,7 +16,7 @@
 struct Peer {
     Evl *loop;
     EvlFd ev;
-    PeerFn fn;
+    PeerFns fns;
     void *ctx;
     int64_t bad;
 };
@@ -134,12 +134,32 @@
            err_set(e, ERR_PROTOCOL, "heartbeat is cut short or not ours");
 }
 
+static bool
+take(Peer *p, const char *buf, size_t n)
+{
+    PeerBeat b;
+    News w;
+
+    if (news_is(buf, n)) {
+        if (!news_decode(&w, buf, n, NULL)) {
+            return false;
+        }
+        p->fns.news(p->ctx, &w, evl_now(p->loop));
+        kv_page_clear(&w.page);
+        return true;
+    }
+    if (!peer_decode(&b, buf, n, NULL)) {
+        return false;
+    }
+    p->fns.beat(p->ctx, &b, evl_now(p->loop));
+    return true;
+}
+
 static void
 on_datagram(void *ctx, uint32_t events)
 {
     Peer *p = ctx;
-    char buf[PEER_BYTES_MAX];
-    PeerBeat b;
+    char buf[MAX(PEER_BYTES_MAX, NEWS_BYTES_MAX)];
     (void)events;
 
     for (int i = 0; i < DATAGRAMS_PER_TURN; i++) {
@@ -147,16 +167,15 @@
         if (n < 0) {
             return;
         }
-        if (!peer_decode(&b, buf, (size_t)n, NULL)) {
+        if (!take(p, buf, (size_t)n)) {
             p->bad++;
-            continue;
         }
-        p->fn(p->ctx, &b, evl_now(p->loop));
     }
 }
 
 Peer *
-peer_new(Evl *loop, const struct sockaddr_in *at, PeerFn fn, void *ctx, Err *e)
+peer_new(Evl *loop, const struct sockaddr_in *at, const PeerFns *fns,
+         void *ctx, Err *e)
 {
     int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -172,7 +191,7 @@
     }
     Peer *p = g_new0(Peer, 1);
     p->loop = loop;
-    p->fn = fn;
+    p->fns = *fns;
     p->ctx = ctx;
     p->ev = (EvlFd){.fd = fd, .fn = on_datagram, .ctx = p};
     evl_add(loop, &p->ev, EPOLLIN);
--- a/src/peer.h
+++ b/src/peer.h
@@ -3,6 +3,7 @@
  *
  * A heartbeat tells that its VM lives, whether it leaves, and what its
  * callers ask of each service.  Lost ones do not matter: the next tells all.
+ * Datagrams of news come by the same socket.
  */
 #ifndef MIMOSA_PEER_H
 #define MIMOSA_PEER_H
@@ -15,6 +16,7 @@
 #include "err.h"
 #include "evl.h"
 #include "limits.h"
+#include "news.h"
 
 #define PEER_SERVICES_MAX 32
 #define PEER_OBJECTS_MAX 30
@@ -59,13 +61,16 @@
 /* Errors: ERR_PROTOCOL. */
 bool peer_decode(PeerBeat *b, const char *p, size_t n, Err *e);
 
-typedef void (*PeerFn)(void *ctx, const PeerBeat *b, int64_t now_us);
+typedef struct PeerFns {
+    void (*beat)(void *ctx, const PeerBeat *b, int64_t now_us);
+    void (*news)(void *ctx, const News *w, int64_t now_us);
+} PeerFns;
 
 typedef struct Peer Peer;
 
 /* Errors: ERR_IO when the address cannot be bound. */
-Peer *peer_new(Evl *loop, const struct sockaddr_in *at, PeerFn fn, void *ctx,
-               Err *e);
+Peer *peer_new(Evl *loop, const struct sockaddr_in *at, const PeerFns *fns,
+               void *ctx, Err *e);
 void peer_free(Peer *p);
 void peer_send(Peer *p, const struct sockaddr_in *to, const char *data,
                size_t n);
--- a/src/px.c
+++ b/src/px.c
@@ -418,6 +418,7 @@
         ups_saw_end(r->u, false, now_us);
         attempt_ended(r, end, now_us);
         break;
+    case UCONN_CONNECTED:
     case UCONN_FLUSHED:
         break;
     }
--- a/src/strm.c
+++ b/src/strm.c
@@ -148,10 +148,13 @@
 }
 
 bool
-strm_connect(Strm *s, Evl *l, const struct sockaddr_in *to, int unacked_ms,
+strm_connect(Strm *s, Evl *l, const struct sockaddr *to, int unacked_ms,
              StrmFn fn, void *ctx)
 {
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    socklen_t n = to->sa_family == AF_INET6 ? sizeof(struct sockaddr_in6)
+                                            : sizeof(struct sockaddr_in);
+    int fd =
+        socket(to->sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
     if (fd < 0) {
         return false;
@@ -160,8 +163,7 @@
         unsigned ms = (unsigned)unacked_ms;
         setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
     }
-    if (connect(fd, (const struct sockaddr *)to, sizeof(*to)) != 0 &&
-        errno != EINPROGRESS) {
+    if (connect(fd, to, n) != 0 && errno != EINPROGRESS) {
         close(fd);
         return false;
     }
@@ -270,3 +272,27 @@
     out->sin_port = htons((uint16_t)port);
     return inet_pton(AF_INET, buf, &out->sin_addr) == 1;
 }
+
+bool
+strm_addr_any(Str text, struct sockaddr_storage *out)
+{
+    struct sockaddr_in6 *six = (struct sockaddr_in6 *)out;
+    char buf[ADDR_BYTES];
+    uint64_t port;
+
+    memset(out, 0, sizeof(*out));
+    if (text.n == 0 || text.p[0] != '[') {
+        return strm_addr(text, (struct sockaddr_in *)out);
+    }
+    if (!str_copy(buf, sizeof(buf), text)) {
+        return false;
+    }
+    char *end = strstr(buf, "]:");
+    if (end == NULL || !str_u64(str_of(end + 2), 65535, &port) || port == 0) {
+        return false;
+    }
+    *end = '\0';
+    six->sin6_family = AF_INET6;
+    six->sin6_port = htons((uint16_t)port);
+    return inet_pton(AF_INET6, buf + 1, &six->sin6_addr) == 1;
+}
--- a/src/strm.h
+++ b/src/strm.h
@@ -48,8 +48,8 @@
 /* Starts to connect.  unacked_ms: the kernel gives the connection up when
  * written bytes stay without acknowledgement that long; 0: its default.
  * Returns false when no socket can be had. */
-bool strm_connect(Strm *s, Evl *l, const struct sockaddr_in *to,
-                  int unacked_ms, StrmFn fn, void *ctx);
+bool strm_connect(Strm *s, Evl *l, const struct sockaddr *to, int unacked_ms,
+                  StrmFn fn, void *ctx);
 
 void strm_write(Strm *s, const void *p, size_t n);
 /* Holds back or resumes reads; the peer's end is then seen late. */
@@ -65,5 +65,7 @@
 
 /* Reads "IP:PORT" (IPv4). */
 bool strm_addr(Str text, struct sockaddr_in *out);
+/* Reads "IP:PORT" or "[IPv6]:PORT". */
+bool strm_addr_any(Str text, struct sockaddr_storage *out);
 
 #endif
--- a/src/uconn.c
+++ b/src/uconn.c
@@ -139,7 +139,10 @@
 
     switch (ev) {
     case STRM_CONNECTED:
-        if (c->queued->len > 0) {
+        if (!c->sent) {
+            tell(c, UCONN_CONNECTED);
+        }
+        else if (c->queued->len > 0) {
             strm_write(&c->strm, c->queued->data, c->queued->len);
             g_byte_array_set_size(c->queued, 0);
         }
@@ -158,6 +161,9 @@
         read_answer(c);
         break;
     case STRM_FLUSHED:
+        if (!c->idle) {
+            tell(c, UCONN_FLUSHED);
+        }
         break;
     case STRM_EOF:
         on_end(c, true);
@@ -243,8 +249,8 @@
 
     if (c == NULL) {
         c = g_new0(Uconn, 1);
-        if (!strm_connect(&c->strm, p->loop, &u->addr, UNACKED_MS, on_stream,
-                          c)) {
+        if (!strm_connect(&c->strm, p->loop, (const struct sockaddr *)&u->addr,
+                          UNACKED_MS, on_stream, c)) {
             g_free(c);
             return NULL;
         }
@@ -281,6 +287,18 @@
     }
 }
 
+void
+uconn_more(Uconn *c, const void *p, size_t n)
+{
+    strm_write(&c->strm, p, n);
+}
+
+size_t
+uconn_backlog(const Uconn *c)
+{
+    return c->strm.out->len;
+}
+
 bool
 uconn_connected(const Uconn *c)
 {
--- a/src/uconn.h
+++ b/src/uconn.h
@@ -19,12 +19,13 @@
 typedef struct UconnPool UconnPool;
 
 typedef enum UconnEvent {
-    UCONN_BODY,    /* the head is sound and more of the body has come */
-    UCONN_DONE,    /* the answer is whole */
-    UCONN_REFUSED, /* not connected; nothing was written */
-    UCONN_LOST,    /* ended before the answer was whole */
-    UCONN_GARBLED, /* bytes that are no answer */
-    UCONN_FLUSHED
+    UCONN_CONNECTED, /* told only where nothing was to be sent yet */
+    UCONN_BODY,      /* the head is sound and more of the body has come */
+    UCONN_DONE,      /* the answer is whole */
+    UCONN_REFUSED,   /* not connected; nothing was written */
+    UCONN_LOST,      /* ended before the answer was whole */
+    UCONN_GARBLED,   /* bytes that are no answer */
+    UCONN_FLUSHED    /* all that was written is with the kernel */
 } UconnEvent;
 
 typedef void (*UconnFn)(void *ctx, UconnEvent ev, int64_t now_us);
@@ -47,6 +48,11 @@
 void uconn_send(Uconn *c, const void *head, size_t n, const void *body,
                 size_t body_n, bool to_head);
 
+/* Writes more of the request's body, as framed by its head. */
+void uconn_more(Uconn *c, const void *p, size_t n);
+/* Bytes of the request that are not with the kernel yet. */
+size_t uconn_backlog(const Uconn *c);
+
 bool uconn_connected(const Uconn *c);
 bool uconn_is_reused(const Uconn *c);
 
--- a/src/ups.c
+++ b/src/ups.c
@@ -11,10 +11,13 @@
 #define OTHERS_FRESH_US 500000
 #define OTHERS_STALE_US 2500000
 
-#define FAILS_WEIGHT 0.12      /* of one end in the moving average */
-#define FAILS_FADE_US 3e6      /* a failing target is tried again by then */
-#define SLOWNESS_WEIGHT 0.15   /* of one answer */
-#define SLOWNESS_FADE_US 4e6   /* disturbances last for seconds */
+#define FAILS_WEIGHT 0.12    /* of one end in the moving average */
+#define FAILS_FADE_US 3e6    /* a failing target is tried again by then */
+#define SLOWNESS_WEIGHT 0.15 /* of one answer */
+#define SLOWNESS_FADE_US 4e6 /* disturbances last for seconds */
+/* A report that moves the end of the cold time by more tells of a new one;
+ * reports that are late by less do not. */
+#define COLD_AGAIN_US 1000000
 #define SLOWNESS_RATIO_MAX 8.0 /* one answer may not dominate */
 
 struct UpsSet {
@@ -77,8 +80,8 @@
     }
 }
 
-static Ups *
-find(const UpsSet *s, Str id)
+Ups *
+ups_find(const UpsSet *s, Str id)
 {
     char *z = g_strndup(id.p, id.n);
     Ups *u = g_hash_table_lookup(s->by_id, z);
@@ -140,7 +143,7 @@
 ups_report(UpsSet *s, const UpsReport *r, int64_t now_us)
 {
     UpsChange ch = UPS_SAME;
-    Ups *u = find(s, r->id);
+    Ups *u = ups_find(s, r->id);
     int zone = places_zone(s->places, r->zone);
 
     if (zone < 0) {
@@ -151,8 +154,7 @@
         ch = UPS_ADDED;
     }
     else if (u->boot_ms != r->boot_ms ||
-             u->addr.sin_addr.s_addr != r->addr.sin_addr.s_addr ||
-             u->addr.sin_port != r->addr.sin_port) {
+             memcmp(&u->addr, &r->addr, sizeof(u->addr)) != 0) {
         forget_observations(u);
         ch = UPS_RESTARTED;
     }
@@ -162,6 +164,11 @@
     else if (u->state != UPS_READY && !r->draining) {
         ch = UPS_BACK;
     }
+    else if (u->slots != r->slots ||
+             (r->warmup_left_us > 0 &&
+              now_us + r->warmup_left_us > u->cold_until_us + COLD_AGAIN_US)) {
+        ch = UPS_CHANGED;
+    }
     uint64_t service = hash_str(r->service, 0);
     if (u->service != service) {
         list_remove(s, u);
@@ -183,7 +190,7 @@
 void
 ups_missing(UpsSet *s, Str id, int64_t now_us)
 {
-    Ups *u = find(s, id);
+    Ups *u = ups_find(s, id);
 
     if (u != NULL && u->state != UPS_GONE && u->missing_us == 0) {
         u->missing_us = now_us;
--- a/src/ups.h
+++ b/src/ups.h
@@ -7,9 +7,9 @@
 #ifndef MIMOSA_UPS_H
 #define MIMOSA_UPS_H
 
-#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
+#include <sys/socket.h>
 
 #include <glib.h>
 
@@ -25,7 +25,7 @@
     Str id;
     Str service;
     Str zone;
-    struct sockaddr_in addr;
+    struct sockaddr_storage addr;
     int slots;
     bool draining;
     int64_t warmup_left_us; /* how long it stays slow after its start */
@@ -40,7 +40,7 @@
     uint64_t boot_ms;
     int zone;
     int region;
-    struct sockaddr_in addr;
+    struct sockaddr_storage addr;
     int slots;
     UpsState state;
     int64_t missing_us; /* since when discovery lacks it; 0: it does not */
@@ -79,6 +79,7 @@
     UPS_RESTARTED, /* the same id, another start: its connections are void */
     UPS_LEAVING,
     UPS_BACK,
+    UPS_CHANGED, /* it is cold again, or has other slots */
     UPS_UNUSABLE /* the report names a zone that is not known */
 } UpsChange;
 
@@ -100,6 +101,9 @@
 void ups_drain_zone(UpsSet *s, int zone, bool drained, int64_t now_us);
 bool ups_zone_drained(const UpsSet *s, int zone);
 
+/* NULL: no such upstream, or it is gone. */
+Ups *ups_find(const UpsSet *s, Str id);
+
 /* All entries of a service, gone ones included; NULL: none. */
 const GPtrArray *ups_of_service(const UpsSet *s, uint64_t service);
 
--- /dev/null
+++ b/src/view.c
@@ -0,0 +1,234 @@
+/* view - what the store says, as state of this VM.  See view.h. */
+#include "view.h"
+
+#include <inttypes.h>
+
+#include "hash.h"
+#include "pf.h"
+
+struct View {
+    ViewOpts o;
+    RtTable *table;
+    int64_t unreadable;
+};
+
+View *
+view_new(const ViewOpts *o)
+{
+    View *v = g_new0(View, 1);
+
+    v->o = *o;
+    return v;
+}
+
+void
+view_free(View *v)
+{
+    rt_unref(v->table);
+    g_free(v);
+}
+
+const RtTable *
+view_routes(const View *v)
+{
+    return v->table;
+}
+
+int64_t
+view_unreadable(const View *v)
+{
+    return v->unreadable;
+}
+
+static uint64_t
+version_in_force(const View *v)
+{
+    return v->table == NULL ? 0 : rt_version(v->table);
+}
+
+static bool
+take_config(View *v, Str text)
+{
+    Err e = {0};
+    RtTable *t = pf_config(text, &e);
+
+    if (t == NULL) {
+        v->unreadable++;
+        dlog_event(v->o.log, DLOG_WARN, "config",
+                   "event=unreadable in_force=%" PRIu64 " error=\"%s\"",
+                   version_in_force(v), e.text);
+        return true;
+    }
+    if (v->table != NULL && rt_version(t) <= rt_version(v->table)) {
+        rt_unref(t);
+        return false;
+    }
+    dlog_event(v->o.log, DLOG_INFO, "config",
+               "event=in_force version=%" PRIu64 " before=%" PRIu64,
+               rt_version(t), version_in_force(v));
+    rt_unref(v->table);
+    v->table = t;
+    v->o.fns.routes(v->o.ctx, t);
+    return true;
+}
+
+static bool
+take_report(View *v, Str id, const UpsReport *r, uint64_t rev, int64_t now_us)
+{
+    static const char *const names[] = {"same",    "added", "restarted",
+                                        "leaving", "back",  "changed",
+                                        "unusable"};
+    UpsChange ch = ups_report(v->o.upstreams, r, now_us);
+
+    if (ch == UPS_RESTARTED) {
+        Ups *u = ups_find(v->o.upstreams, id);
+        if (u != NULL) {
+            uconns_drop(v->o.pool, u);
+        }
+    }
+    if (ch != UPS_SAME) {
+        dlog_event(v->o.log, DLOG_INFO, "upstream",
+                   "id=%.*s event=%s service=%.*s zone=%.*s rev=%" PRIu64
+                   " cold_ms=%" PRId64,
+                   (int)id.n, id.p, names[ch], (int)r->service.n, r->service.p,
+                   (int)r->zone.n, r->zone.p, rev, r->warmup_left_us / 1000);
+    }
+    return ch != UPS_SAME;
+}
+
+static bool
+take_upstream(View *v, Str id, Str text, uint64_t rev, int64_t now_us)
+{
+    UpsReport r;
+    gpointer keep = NULL;
+    Err e = {0};
+    bool changed = true;
+
+    if (pf_upstream(id, text, &r, &keep, &e)) {
+        changed = take_report(v, id, &r, rev, now_us);
+    }
+    else {
+        v->unreadable++;
+        dlog_event(v->o.log, DLOG_WARN, "upstream",
+                   "id=%.*s event=unreadable rev=%" PRIu64 " error=\"%s\"",
+                   (int)id.n, id.p, rev, e.text);
+        ups_missing(v->o.upstreams, id, now_us);
+    }
+    pf_release(keep);
+    return changed;
+}
+
+static void
+lose_upstream(View *v, Str id, uint64_t rev, int64_t now_us)
+{
+    dlog_event(v->o.log, DLOG_INFO, "upstream",
+               "id=%.*s event=missing rev=%" PRIu64, (int)id.n, id.p, rev);
+    ups_missing(v->o.upstreams, id, now_us);
+}
+
+static void
+take_vm(View *v, Str id, Str text)
+{
+    Vm vm;
+    Err e = {0};
+
+    if (!vml_read(&vm, id, text, v->o.places, &e)) {
+        v->unreadable++;
+        dlog_event(v->o.log, DLOG_WARN, "vm",
+                   "id=%.*s event=unreadable error=\"%s\"", (int)id.n, id.p,
+                   e.text);
+        return;
+    }
+    dlog_event(v->o.log, DLOG_INFO, "vm",
+               "id=%s event=listed leaving=%d boot=%" PRIu64, vm.id,
+               vm.leaving ? 1 : 0, vm.boot_ms);
+    vml_put(v->o.vms, &vm);
+    v->o.fns.vms(v->o.ctx);
+}
+
+static void
+lose_vm(View *v, Str id, uint64_t rev)
+{
+    dlog_event(v->o.log, DLOG_INFO, "vm", "id=%.*s event=gone rev=%" PRIu64,
+               (int)id.n, id.p, rev);
+    vml_remove(v->o.vms, id);
+    v->o.fns.vms(v->o.ctx);
+}
+
+static void
+take_drain(View *v, Str name, bool drained, uint64_t rev, int64_t now_us)
+{
+    int zone = places_zone(v->o.places, name);
+
+    if (zone < 0) {
+        dlog_event(v->o.log, DLOG_WARN, "zone",
+                   "id=%.*s event=unknown rev=%" PRIu64, (int)name.n, name.p,
+                   rev);
+        return;
+    }
+    dlog_event(v->o.log, DLOG_INFO, "zone", "id=%s event=%s rev=%" PRIu64,
+               v->o.places->zones[zone], drained ? "drained" : "returned",
+               rev);
+    ups_drain_zone(v->o.upstreams, zone, drained, now_us);
+}
+
+static bool
+take_value(View *v, PfKind kind, Str name, Str text, uint64_t rev,
+           int64_t now_us)
+{
+    switch (kind) {
+    case PF_CONFIG:
+        return take_config(v, text);
+    case PF_UPSTREAM:
+        return take_upstream(v, name, text, rev, now_us);
+    case PF_DRAIN:
+        take_drain(v, name, true, rev, now_us);
+        return true;
+    case PF_VM:
+        take_vm(v, name, text);
+        return true;
+    case PF_OTHER:
+        break;
+    }
+    return false;
+}
+
+static bool
+take_removal(View *v, PfKind kind, Str name, uint64_t rev, int64_t now_us)
+{
+    switch (kind) {
+    case PF_UPSTREAM:
+        lose_upstream(v, name, rev, now_us);
+        return true;
+    case PF_DRAIN:
+        take_drain(v, name, false, rev, now_us);
+        return true;
+    case PF_VM:
+        lose_vm(v, name, rev);
+        return true;
+    case PF_CONFIG: /* what is in force stays in force */
+    case PF_OTHER:
+        break;
+    }
+    return false;
+}
+
+bool
+view_item(View *v, const char *key, GBytes *value, uint64_t rev,
+          int64_t now_us)
+{
+    Str name;
+    Str text = {NULL, 0};
+    PfKind kind = pf_key(key, &name);
+    bool changed;
+
+    if (value != NULL) {
+        text.p = g_bytes_get_data(value, &text.n);
+        changed = take_value(v, kind, name, text, rev, now_us);
+    }
+    else {
+        changed = take_removal(v, kind, name, rev, now_us);
+    }
+    ups_expire(v->o.upstreams, now_us);
+    return changed;
+}
--- a/tests/platform_path.sh
+++ b/tests/platform_path.sh
@@ -10,7 +10,9 @@
 port=${PORT:-27400}
 store=127.0.0.1:$port
 fails=0
+vm1=
 vm2=
+vm3=
 
 stop_all() {
     # shellcheck disable=SC2086
@@ -125,10 +127,13 @@
 config 3
 settings 1 west-a
 settings 2 east-a
+settings 3 west-a
 start_vm 1
 start_vm 2
+start_vm 3
 wait_for "http://127.0.0.1:$((port + 102))/api/readyz" 200
 wait_for "http://127.0.0.1:$((port + 202))/api/readyz" 200
+wait_for "http://127.0.0.1:$((port + 302))/api/readyz" 200
 sleep 1.2
 
 # Guards against losing status, body or seal of an answer.
@@ -189,6 +194,26 @@
 check drained "$(grep -c 'id=h[0-9].*upstream=u-1' "$dir/vm1.log")" 0
 control '/test/delete?op/evacuate/west-a'
 
+# Guards against VMs of a region that all watch the store, and against one
+# that relies on the news of another that stands still.
+metric() {
+    curl -s "http://127.0.0.1:$((port + 100 * $1 + 5))/metrics" | sed -n "s/^$2 //p"
+}
+put_off=$(($(metric 1 edge_watches_put_off_total) + $(metric 3 edge_watches_put_off_total)))
+check watches_put_off "$([ "$put_off" -ge 4 ] && echo yes || echo "$put_off")" yes
+for pair in "1 3" "3 1"; do
+    eval "still=\$vm${pair% *}"
+    v=${pair#* }
+    kill -STOP "$still"
+    seen=$(grep -c 'id=west-a event=drained' "$dir/vm$v.log")
+    control '/test/key?op/evacuate/west-a' '{}'
+    sleep 2.3
+    check "drained_alone_$v" "$(($(grep -c 'id=west-a event=drained' "$dir/vm$v.log") - seen))" 1
+    control '/test/delete?op/evacuate/west-a'
+    kill -CONT "$still"
+    sleep 1.5
+done
+
 # Guards against a stop of serving while the store is away, in each manner.
 for mode in busy refuse silent; do
     control "/test/mode?$mode"
--- a/tests/soak_proxy.h
+++ b/tests/soak_proxy.h
@@ -159,7 +159,8 @@
     g_queue_push_tail_link(&p->pairs, &x->link);
     strm_accept(&x->side[0], p->loop, fd, pair_from, x);
     x->open[0] = true;
-    x->open[1] = strm_connect(&x->side[1], p->loop, &p->to, 0, pair_to, x);
+    x->open[1] = strm_connect(&x->side[1], p->loop,
+                              (const struct sockaddr *)&p->to, 0, pair_to, x);
     if (!x->open[1] || p->mode == PROXY_RESET) {
         pair_close(x, true);
     }
--- a/tests/test_uconn.c
+++ b/tests/test_uconn.c
@@ -58,8 +58,9 @@
     UpsReport r = {.id = str_of("u-1"),
                    .service = str_of("desk"),
                    .zone = str_of("z"),
-                   .addr = at,
                    .slots = 4};
+
+    memcpy(&r.addr, &at, sizeof(at));
     ups_report(w->set, &r, evl_now(w->loop));
     w->u = ups_find(w->set, str_of("u-1"));
 }
