--- a/src/entry.h
+++ b/src/entry.h
@@ -47,7 +47,6 @@
     EC_CANCELLED,
     EC_FORWARDED,
     EC_RETRIES,
-    EC_RESENDS_BARRED,
     EC_SENDS_BARRED,
     EC_REPLAYED,
     EC_CRASHES,
--- a/src/entry_crash.c
+++ b/src/entry_crash.c
@@ -76,10 +76,10 @@
 }
 
 static bool
-notice_may_send(void *ctx, bool again)
+notice_may_send(void *ctx)
 {
     (void)ctx;
-    return !again;
+    return true;
 }
 
 static void
--- a/src/entry_fwd.c
+++ b/src/entry_fwd.c
@@ -118,14 +118,10 @@
 }
 
 static bool
-may_send(void *ctx, bool again)
+may_send(void *ctx)
 {
     Req *r = ctx;
 
-    if (again) {
-        ctr_add(r->en->c[EC_RESENDS_BARRED], 1);
-        return false;
-    }
     if (g_get_monotonic_time() >= r->deadline_us) {
         return false;
     }
--- a/src/entry_health.c
+++ b/src/entry_health.c
@@ -21,10 +21,10 @@
 } Poll;
 
 static bool
-poll_may_send(void *ctx, bool again)
+poll_may_send(void *ctx)
 {
     (void)ctx;
-    return !again;
+    return true;
 }
 
 static void
--- a/src/entry_http.c
+++ b/src/entry_http.c
@@ -230,6 +230,11 @@
     ctr_add(r->en->c[EC_BYTES_IN], (int64_t)n);
     r->body_got += (int64_t)n;
     if (r->state == REQ_DONE) {
+        /* The upstream answered early; the rest is dropped, up to the bound.
+         */
+        if (r->body_got > BODY_BYTES_MAX && !r->cut_after) {
+            req_answer_cut(r);
+        }
         return;
     }
     if (r->body_got > BODY_BYTES_MAX) {
--- a/src/entry_run.c
+++ b/src/entry_run.c
@@ -14,14 +14,14 @@
 #define DEMAND_SMOOTH 0.3 /* part of the newest second in the demand */
 
 static const char *const ctr_names[EC_N] = {
-    "entry_requests_total",       "entry_answered_total",
-    "entry_not_run_total",        "entry_unknown_total",
-    "entry_refused_head_total",   "entry_cancelled_total",
-    "entry_forwarded_total",      "entry_retries_total",
-    "entry_resends_barred_total", "entry_sends_barred_total",
-    "entry_replayed_total",       "entry_crashes_total",
-    "entry_convicted_total",      "entry_leaving_seen_total",
-    "entry_body_in_bytes",        "entry_body_out_bytes",
+    "entry_requests_total",     "entry_answered_total",
+    "entry_not_run_total",      "entry_unknown_total",
+    "entry_refused_head_total", "entry_cancelled_total",
+    "entry_forwarded_total",    "entry_retries_total",
+    "entry_sends_barred_total", "entry_replayed_total",
+    "entry_crashes_total",      "entry_convicted_total",
+    "entry_leaving_seen_total", "entry_body_in_bytes",
+    "entry_body_out_bytes",
 };
 
 static void
--- a/src/entry_send.c
+++ b/src/entry_send.c
@@ -74,18 +74,12 @@
 /* Time passes between a decision and the send, above all when the process is
  * paused; so ownership is checked again at the last moment. */
 static bool
-may_send(void *ctx, bool again)
+may_send(void *ctx)
 {
     Req *r = ctx;
     Entry *en = r->en;
     int64_t now = g_get_monotonic_time();
 
-    if (again) {
-        /* The first send may have crashed the upstream, so a second one
-         * needs the crash suspects and the retry budget. */
-        ctr_add(en->c[EC_RESENDS_BARRED], 1);
-        return false;
-    }
     entry_apply_time(en, now);
     if (r->target < 0 || !entry_owned_now(en, r->target, now) ||
         now >= r->deadline_us) {
--- a/src/entry_up.h
+++ b/src/entry_up.h
@@ -1,9 +1,9 @@
 /*
  * entry_up - one HTTP call to an upstream or another entry VM.
  *
- * A task: owns one SoupSession per address, whose connections are bounded by
- * the target's limit.  A call tells its end exactly once, unless it is
- * dropped by call_cancel().
+ * A task: owns the connections to each address, which are bounded by the
+ * target's limit; calls beyond it wait.  A call tells its end exactly once,
+ * unless it is dropped by call_cancel().  Nothing is ever sent again here.
  */
 #ifndef MIMOSA_ENTRY_UP_H
 #define MIMOSA_ENTRY_UP_H
@@ -35,9 +35,8 @@
     int64_t body_bytes; /* of the pipe; -1: unknown */
     /* Fills the request headers. */
     void (*fill)(void *ctx, SoupMessageHeaders *h);
-    /* Asked right before each send; again: a reused connection closed before
-     * the answer and the request would be sent a second time. */
-    bool (*may_send)(void *ctx, bool again);
+    /* Asked right before the send, when there is a connection. */
+    bool (*may_send)(void *ctx);
     void (*on_head)(void *ctx, int status, SoupMessageHeaders *h);
     /* A part of the body; call_more() asks for the next. */
     void (*on_data)(void *ctx, GBytes *data);
@@ -45,6 +44,7 @@
     void *ctx;
 } CallOpts;
 
+/* Runs on the thread's main context. */
 UpPool *up_pool_new(void);
 void up_pool_free(UpPool *p);
 
