Split px into taking, trying and ending a request; log the object

Change: pxtry (choice, send, answer, what follows an attempt), pxreq (the request and the ways in which it ends), px (taking requests, room, metrics).

--- /dev/null
+++ b/src/pxtry.c
@@ -0,0 +1,295 @@
+/* pxtry - attempts of a request at upstreams.  See pxtry.h. */
+#include "pxtry.h"
+
+#include <string.h>
+
+/* A new connection needs a round trip; between regions about 110 ms. */
+#define CONNECT_US 400000
+/* Answers up to this size are read whole before the caller gets a byte, so
+ * that a broken one can be replaced. */
+#define WHOLE_BYTES (256 * 1024)
+/* A caller that does not read holds up the upstream at this many bytes. */
+#define BACKLOG_BYTES (256 * 1024)
+/* An answer may take this long on its way back to the caller's side. */
+#define ANSWER_MARGIN_US 5000
+#define COLD_VMS 4 /* VMs that use one cold upstream */
+
+Ups *
+pxtry_pick(Req *r, int64_t now_us)
+{
+    const Px *p = r->p;
+    PickIn in = {
+        .set = p->o.upstreams,
+        .places = p->o.places,
+        .plan = p->o.plan,
+        .split = &r->demand->split,
+        .route = r->route,
+        .service = r->service,
+        .object = r->object,
+        .region = p->o.region,
+        .vms = p->vms,
+        .n_vms = p->n_vms,
+        .self = p->self,
+        .cold_vms = COLD_VMS,
+        .reach_us = p->reach_us,
+        .n_tried = r->n_tried,
+    };
+
+    memcpy(in.tried, r->tried, sizeof(r->tried));
+    return pick_upstream(&in, now_us, &r->why);
+}
+
+/* True when another attempt is allowed; takes a part of the budget. */
+static bool
+may_again(Req *r, int64_t now_us)
+{
+    const Px *p = r->p;
+
+    if (crash_refuses(p->o.crashes, r->print, now_us) ||
+        r->n_tried >= PICK_TRIED_MAX ||
+        r->arrivals >= r->route->max_attempts ||
+        r->end_us - now_us < (int64_t)(r->demand->work_s * 5e5)) {
+        return false;
+    }
+    /* Only what an upstream has seen counts as a repeat. */
+    return r->arrivals == 0 ||
+           demand_retry(p->o.demand, r->demand, p->n_vms, now_us);
+}
+
+/* Decides what follows the end of an attempt.  The connection is closed or
+ * given back by then. */
+static void
+attempt_ended(Req *r, UpEnd end, int64_t now_us)
+{
+    bool seen = end != UP_NOT_SENT;
+    Ups *next = NULL;
+
+    if (end == UP_LOST) {
+        crash_lost(r->p->o.crashes, r->print, r->u, now_us);
+    }
+
+    pxreq_drop_upstream(r);
+    r->arrivals += seen ? 1 : 0;
+    r->ran = r->ran || (seen && end != UP_NOT_RUN);
+    OutcomeIn in = {end, r->route->idempotent, r->ran, true};
+    if (outcome_decide(&in) == OUT_AGAIN) {
+        in.may_again =
+            may_again(r, now_us) && (next = pxtry_pick(r, now_us)) != NULL;
+    }
+    OutcomeAct act = outcome_decide(&in);
+    if (act == OUT_AGAIN && next != NULL) {
+        r->p->counts[PX_RETRIES] += seen ? 1 : 0;
+        pxtry_start(r, next, now_us);
+        return;
+    }
+    pxreq_end_by(r, act, now_us);
+}
+
+static void
+note_answer(Req *r, int64_t now_us)
+{
+    const H1 *a = uconn_answer(r->conn);
+    int64_t took = now_us - r->sent_us;
+    int running;
+    int waiting;
+
+    demand_served(r->demand, took);
+    hist_add(&r->p->upstream, took);
+    ups_saw_time(r->u, (double)took / 1e6 / r->demand->work_s, now_us);
+    if (pxhead_load(a, r->p->o.names, &running, &waiting)) {
+        ups_saw_load(r->u, running, waiting, now_us);
+    }
+}
+
+/* A whole answer of this request. */
+static void
+pass_on(Req *r, int64_t now_us)
+{
+    Caller *c = r->caller;
+    H1 *a = uconn_answer(r->conn);
+    GString *head = pxhead_answer(a);
+    GByteArray *body = g_byte_array_ref(a->body);
+    int status = (int)a->parser.status_code;
+
+    note_answer(r, now_us);
+    ups_saw_end(r->u, status < 500, now_us);
+    hist_add(&r->p->answered, now_us - r->begin_us);
+    r->p->counts[PX_ANSWERED]++;
+    pxreq_log(r, "answered", status, now_us);
+    caller_set_user(c, NULL);
+    caller_answer(c, (Str){head->str, head->len}, body->data, body->len);
+    g_byte_array_unref(body);
+    g_string_free(head, TRUE);
+    uconn_release(r->conn);
+    r->conn = NULL;
+    pxreq_end(r);
+}
+
+static void
+on_done(Req *r, int64_t now_us)
+{
+    H1 *a = uconn_answer(r->conn);
+
+    if (r->state == REQ_STREAMING) {
+        Caller *c = r->caller;
+        caller_more(c, a->body->data, a->body->len);
+        note_answer(r, now_us);
+        r->p->counts[PX_ANSWERED]++;
+        pxreq_log(r, "answered", (int)a->parser.status_code, now_us);
+        uconn_release(r->conn);
+        r->conn = NULL;
+        caller_set_user(c, NULL);
+        pxreq_end(r);
+        caller_end(c);
+        return;
+    }
+    switch (pxhead_kind(a, r->p->o.names, r->attempt)) {
+    case PX_ANSWER_OWN:
+        pass_on(r, now_us);
+        break;
+    case PX_ANSWER_NOT_RUN: {
+        int running;
+        int waiting;
+        if (pxhead_load(a, r->p->o.names, &running, &waiting)) {
+            ups_saw_load(r->u, running, waiting, now_us);
+        }
+        ups_saw_end(r->u, false, now_us);
+        uconn_release(r->conn);
+        r->conn = NULL;
+        attempt_ended(r, UP_NOT_RUN, now_us);
+        break;
+    }
+    case PX_ANSWER_OTHER:
+        uconn_skip(r->conn);
+        break;
+    case PX_ANSWER_BAD:
+        ups_saw_end(r->u, false, now_us);
+        attempt_ended(r, UP_GARBLED, now_us);
+        break;
+    }
+}
+
+/* Hands on what has come of a large answer. */
+static void
+on_body(Req *r)
+{
+    H1 *a = uconn_answer(r->conn);
+
+    if (r->state != REQ_STREAMING) {
+        if (a->body->len < WHOLE_BYTES ||
+            pxhead_kind(a, r->p->o.names, r->attempt) != PX_ANSWER_OWN) {
+            return;
+        }
+        GString *head = pxhead_answer(a);
+        r->state = REQ_STREAMING;
+        caller_begin(r->caller, (Str){head->str, head->len}, a->length);
+        g_string_free(head, TRUE);
+    }
+    caller_more(r->caller, a->body->data, a->body->len);
+    g_byte_array_set_size(a->body, 0);
+    uconn_pause(r->conn, caller_backlog(r->caller) > BACKLOG_BYTES);
+}
+
+static void
+on_upstream(void *ctx, UconnEvent ev, int64_t now_us)
+{
+    Req *r = ctx;
+    UpEnd end = r->state == REQ_STREAMING ? UP_CUT : UP_LOST;
+
+    switch (ev) {
+    case UCONN_BODY:
+        on_body(r);
+        break;
+    case UCONN_DONE:
+        on_done(r, now_us);
+        break;
+    case UCONN_REFUSED:
+        ups_saw_down(r->u, now_us);
+        attempt_ended(r, UP_NOT_SENT, now_us);
+        break;
+    case UCONN_GARBLED:
+        ups_saw_end(r->u, false, now_us);
+        attempt_ended(r, end == UP_CUT ? UP_CUT : UP_GARBLED, now_us);
+        break;
+    case UCONN_LOST:
+        ups_saw_end(r->u, false, now_us);
+        attempt_ended(r, end, now_us);
+        break;
+    case UCONN_CONNECTED:
+    case UCONN_FLUSHED:
+        break;
+    }
+}
+
+static void
+on_timer(void *ctx, int64_t now_us)
+{
+    Req *r = ctx;
+
+    bool sent = r->conn != NULL && uconn_connected(r->conn);
+
+    if (now_us < r->end_us) {
+        /* Armed early to look at the connection. */
+        if (!sent) {
+            ups_saw_down(r->u, now_us);
+            attempt_ended(r, UP_NOT_SENT, now_us);
+            return;
+        }
+        evl_arm(r->p->o.loop, &r->timer, r->end_us);
+        return;
+    }
+    if (r->state == REQ_STREAMING) {
+        pxreq_end_by(r, OUT_CUT, now_us);
+        return;
+    }
+    if (sent && now_us < r->last_us) {
+        evl_arm(r->p->o.loop, &r->timer, r->last_us);
+        return;
+    }
+    if (sent) {
+        ups_saw_end(r->u, false, now_us);
+    }
+    if (!sent && !r->ran) {
+        pxreq_end_by(r, OUT_NOT_RUN, now_us);
+        return;
+    }
+    pxreq_end_by(r, OUT_TIMED_OUT, now_us);
+}
+
+void
+pxtry_start(Req *r, Ups *u, int64_t now_us)
+{
+    Px *p = r->p;
+    int64_t left_ms = (r->last_us - now_us - ANSWER_MARGIN_US) / 1000;
+
+    pxreq_unhold(r);
+    r->timer.fn = on_timer;
+    r->timer.ctx = r;
+    r->tried[r->n_tried++] = ups_ref(u);
+    r->conn = uconn_open(p->o.pool, u, false, on_upstream, r);
+    if (r->conn == NULL) {
+        attempt_ended(r, UP_NOT_SENT, now_us);
+        return;
+    }
+    r->u = u;
+    r->state = REQ_SENT;
+    r->sent_us = now_us;
+    u->inflight++;
+    u->used = true;
+    GString *head =
+        pxhead_request(r->head, p->o.names, u->id, MAX(left_ms, 1));
+    uconn_send(r->conn, head->str, head->len, r->head->body->data,
+               r->head->body->len, r->head->parser.method == HTTP_HEAD);
+    g_string_free(head, TRUE);
+    evl_arm(p->o.loop, &r->timer,
+            uconn_connected(r->conn) ? r->end_us
+                                     : MIN(r->end_us, now_us + CONNECT_US));
+}
+
+void
+pxtry_caller_took_all(Req *r)
+{
+    if (r->state == REQ_STREAMING && r->conn != NULL) {
+        uconn_pause(r->conn, false);
+    }
+}
