Share failed attempts in a region and leave silent upstreams

Change: heartbeats carry how attempts ended and how long they took; failed ones go to all VMs of the region at once. Three failures in a row, by whatever VM, make an upstream poor for 5 s. An attempt counts as failed once it waits four times the usual time; work that may be repeated then goes elsewhere, if its upstream is poor and the budget allows. Four candidates in place of two, the first that is not poor. Heartbeats have at most 1,400 bytes.

--- a/src/beats.c
+++ b/src/beats.c
@@ -116,6 +116,20 @@
     }
 }
 
+/* Failed attempts are told to all of the region at once: a silent upstream
+ * gets few attempts of each VM. */
+static void
+send_failures(const Beats *b, PeerBeat *p)
+{
+    p->n_needs = 0;
+    p->n_objects = 0;
+    p->n_crashes = 0;
+    p->n_seen = ups_take_seen(b->o.upstreams, true, p->seen, PEER_SEEN_MAX);
+    if (p->n_seen > 0) {
+        send_some(b, p, true, vml_count(b->o.vms));
+    }
+}
+
 void
 beats_send(Beats *b, bool leaving, int64_t now_us)
 {
@@ -126,8 +140,12 @@
     demand_each(b->o.demand, add_need, &p);
     add_objects(b, &p);
     add_crashes(b, &p, now_us);
+    p.n_seen = ups_take_seen(b->o.upstreams, false, p.seen, PEER_SEEN_MAX);
     send_some(b, &p, true, FANOUT_NEAR);
+    /* Bytes between regions are dear, and each region sees enough. */
+    p.n_seen = 0;
     send_some(b, &p, false, FANOUT_FAR);
+    send_failures(b, &p);
 }
 
 static void
@@ -166,6 +184,9 @@
         CrashNews n = {in->crashes[i].print, in->crashes[i].id};
         crash_learn(b->o.crashes, &n, now_us);
     }
+    for (int i = 0; i < in->n_seen; i++) {
+        ups_heard(b->o.upstreams, &in->seen[i], now_us);
+    }
     for (int i = 0; i < in->n_objects; i++) {
         const PeerObject *x = &in->objects[i];
         plan_learn(b->o.plan, in->needs[x->need].service, x->object, x->weight,
--- a/src/beats.h
+++ b/src/beats.h
@@ -26,6 +26,7 @@
     Dlog *log;
     Peer *peer;
     Vml *vms;
+    UpsSet *upstreams;
     Demand *demand;
     Plan *plan;
     Crashes *crashes;
--- a/src/edge.c
+++ b/src/edge.c
@@ -449,6 +449,7 @@
         .log = g->log,
         .peer = g->peer,
         .vms = g->vms,
+        .upstreams = g->upstreams,
         .demand = g->demand,
         .plan = g->plan,
         .crashes = g->crashes,
--- a/src/peer.c
+++ b/src/peer.c
@@ -9,7 +9,7 @@
 
 #include <rpc/rpc.h>
 
-#define MAGIC 0x6d696d31U /* "mim1": format version 1 */
+#define MAGIC 0x6d696d32U /* "mim2": format version 2 */
 #define DATAGRAMS_PER_TURN 64
 #define NEED_SCALE 1000.0 /* slots are sent in thousandths */
 
@@ -35,6 +35,19 @@
     return TRUE;
 }
 
+static bool_t
+xdr_crash(XDR *x, PeerCrash *c)
+{
+    u_quad_t print = c->print;
+    u_quad_t id = c->id;
+
+    if (!xdr_u_int64_t(x, &print) || !xdr_u_int64_t(x, &id)) {
+        return FALSE;
+    }
+    *c = (PeerCrash){print, id};
+    return TRUE;
+}
+
 static bool_t
 xdr_object(XDR *x, PeerObject *o, int n_needs)
 {
@@ -50,60 +63,95 @@
     return TRUE;
 }
 
+#define SEEN_COUNT_MAX 255
+#define SEEN_SCALE 10.0 /* ratios are sent in tenths */
+
+/* Three counts and the ratio, a byte each. */
 static bool_t
-xdr_beat(XDR *x, PeerBeat *b)
+xdr_seen(XDR *x, UpsSeen *s)
 {
-    u_int magic = MAGIC;
-    char *name = b->vm;
-    u_quad_t boot = b->boot_ms;
-    bool_t leaving = b->leaving ? TRUE : FALSE;
-    int64_t times[] = {b->sent_us, b->echo_us, b->held_us};
-    int n = b->n_needs;
+    u_quad_t key = s->key;
+    u_int packed = (u_int)MIN(s->ok, SEEN_COUNT_MAX) << 24 |
+                   (u_int)MIN(s->failed, SEEN_COUNT_MAX) << 16 |
+                   (u_int)MIN(s->timed, SEEN_COUNT_MAX) << 8 |
+                   (u_int)MIN(s->ratio * SEEN_SCALE, SEEN_COUNT_MAX);
 
-    if (!xdr_u_int(x, &magic) || magic != MAGIC ||
-        !xdr_string(x, &name, NAME_BYTES - 1) || !xdr_u_int64_t(x, &boot) ||
-        !xdr_bool(x, &leaving) || !xdr_int64_t(x, &times[0]) ||
-        !xdr_int64_t(x, &times[1]) || !xdr_int64_t(x, &times[2]) ||
-        !xdr_int(x, &n) || n < 0 || n > PEER_SERVICES_MAX) {
+    if (!xdr_u_int64_t(x, &key) || !xdr_u_int(x, &packed)) {
         return FALSE;
     }
-    b->boot_ms = boot;
-    b->leaving = leaving != FALSE;
-    b->sent_us = times[0];
-    b->echo_us = times[1];
-    b->held_us = times[2];
-    b->n_needs = n;
-    for (int i = 0; i < n; i++) {
+    *s = (UpsSeen){.key = key,
+                   .ok = (int)(packed >> 24),
+                   .failed = (int)(packed >> 16 & 0xff),
+                   .timed = (int)(packed >> 8 & 0xff),
+                   .ratio = (packed & 0xff) / SEEN_SCALE};
+    return TRUE;
+}
+
+static bool_t
+xdr_lists(XDR *x, PeerBeat *b)
+{
+    if (!xdr_int(x, &b->n_needs) || b->n_needs < 0 ||
+        b->n_needs > PEER_SERVICES_MAX) {
+        return FALSE;
+    }
+    for (int i = 0; i < b->n_needs; i++) {
         if (!xdr_need(x, &b->needs[i])) {
             return FALSE;
         }
     }
-    n = b->n_crashes;
-    if (!xdr_int(x, &n) || n < 0 || n > PEER_CRASHES_MAX) {
+    if (!xdr_int(x, &b->n_crashes) || b->n_crashes < 0 ||
+        b->n_crashes > PEER_CRASHES_MAX) {
         return FALSE;
     }
-    b->n_crashes = n;
-    for (int i = 0; i < n; i++) {
-        u_quad_t print = b->crashes[i].print;
-        u_quad_t id = b->crashes[i].id;
-        if (!xdr_u_int64_t(x, &print) || !xdr_u_int64_t(x, &id)) {
+    for (int i = 0; i < b->n_crashes; i++) {
+        if (!xdr_crash(x, &b->crashes[i])) {
             return FALSE;
         }
-        b->crashes[i] = (PeerCrash){print, id};
     }
-    n = b->n_objects;
-    if (!xdr_int(x, &n) || n < 0 || n > PEER_OBJECTS_MAX) {
+    if (!xdr_int(x, &b->n_objects) || b->n_objects < 0 ||
+        b->n_objects > PEER_OBJECTS_MAX) {
         return FALSE;
     }
-    b->n_objects = n;
-    for (int i = 0; i < n; i++) {
+    for (int i = 0; i < b->n_objects; i++) {
         if (!xdr_object(x, &b->objects[i], b->n_needs)) {
             return FALSE;
         }
     }
+    if (!xdr_int(x, &b->n_seen) || b->n_seen < 0 ||
+        b->n_seen > PEER_SEEN_MAX) {
+        return FALSE;
+    }
+    for (int i = 0; i < b->n_seen; i++) {
+        if (!xdr_seen(x, &b->seen[i])) {
+            return FALSE;
+        }
+    }
     return TRUE;
 }
 
+static bool_t
+xdr_beat(XDR *x, PeerBeat *b)
+{
+    u_int magic = MAGIC;
+    char *name = b->vm;
+    u_quad_t boot = b->boot_ms;
+    bool_t leaving = b->leaving ? TRUE : FALSE;
+    int64_t times[] = {b->sent_us, b->echo_us, b->held_us};
+
+    if (!xdr_u_int(x, &magic) || magic != MAGIC ||
+        !xdr_string(x, &name, NAME_BYTES - 1) || !xdr_u_int64_t(x, &boot) ||
+        !xdr_bool(x, &leaving) || !xdr_int64_t(x, &times[0]) ||
+        !xdr_int64_t(x, &times[1]) || !xdr_int64_t(x, &times[2])) {
+        return FALSE;
+    }
+    b->boot_ms = boot;
+    b->leaving = leaving != FALSE;
+    b->sent_us = times[0];
+    b->echo_us = times[1];
+    b->held_us = times[2];
+    return xdr_lists(x, b);
+}
+
 size_t
 peer_encode(const PeerBeat *b, char *out, size_t cap)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -17,11 +17,13 @@
 #include "evl.h"
 #include "limits.h"
 #include "news.h"
+#include "ups.h"
 
 #define PEER_SERVICES_MAX 32
 #define PEER_OBJECTS_MAX 30
 #define PEER_CRASHES_MAX 6
-#define PEER_BYTES_MAX 1200 /* fits one packet on common links */
+#define PEER_SEEN_MAX 24
+#define PEER_BYTES_MAX 1400 /* fits one packet on common links */
 
 typedef struct PeerNeed {
     uint64_t service; /* hash of the name */
@@ -54,6 +56,8 @@
     PeerCrash crashes[PEER_CRASHES_MAX];
     int n_objects;
     PeerObject objects[PEER_OBJECTS_MAX];
+    int n_seen;
+    UpsSeen seen[PEER_SEEN_MAX]; /* since the last heartbeat */
 } PeerBeat;
 
 /* Returns the length, or 0 when cap is too small. */
--- a/src/pick.c
+++ b/src/pick.c
@@ -1,11 +1,14 @@
 /* pick - choice of an upstream for one request.  See pick.h. */
 #include "pick.h"
 
+#include <string.h>
+
 #include "hash.h"
 
-/* Upstreams that are looked at for one object: its own, and the one that
- * stands in when that one is poor. */
-#define CANDIDATES 2
+/* Upstreams that are looked at for one object: its own, and those that stand
+ * in when it is poor.  With a third of them silent, one in 80 objects has
+ * none. */
+#define CANDIDATES 4
 
 /* Load over the slots up to which a rank is let in; the upstream queues what
  * is over 1.  Less urgent work leaves room for more urgent work. */
@@ -148,20 +151,24 @@
         !may_use(in, u, now_us)) {
         return n;
     }
-    if (n > 0 && c[0].u != u) {
-        c[1] = c[0];
-        n = CANDIDATES;
+    /* Moves the better ones down over the place that it had, or the last. */
+    int at = 0;
+    while (at < n && c[at].u != u) {
+        at++;
+    }
+    if (at == n) {
+        n = MIN(n + 1, CANDIDATES);
+        at = n - 1;
     }
+    memmove(&c[1], &c[0], (size_t)at * sizeof(c[0]));
     c[0] = (Candidate){u, 0};
-    return MAX(n, 1);
+    return n;
 }
 
-/* True when an upstream fails or is slow so often that a cold one is better.
- */
-static bool
-is_poor(const Ups *u, int64_t now_us)
+bool
+pick_is_poor(const Ups *u, int64_t now_us)
 {
-    return ups_fails(u, now_us) > POOR_FAILS ||
+    return ups_silent(u, now_us) || ups_fails(u, now_us) > POOR_FAILS ||
            ups_slowness(u, now_us) > POOR_SLOWNESS;
 }
 
@@ -173,12 +180,18 @@
     return ups_load(u, now_us) < u->slots * fill_limit[r] + FILL_MORE;
 }
 
-/* The first candidate, or the second where the first is poor and the second
- * is not.  A full first one does not make its requests spill. */
+/* The first candidate that is not poor, or the first where all are.  A full
+ * one does not make its requests spill. */
 static Ups *
 choose(const PickIn *in, const Candidate *c, int n, int64_t now_us, int *at)
 {
-    *at = n > 1 && is_poor(c[0].u, now_us) && !is_poor(c[1].u, now_us) ? 1 : 0;
+    *at = 0;
+    while (*at < n - 1 && pick_is_poor(c[*at].u, now_us)) {
+        (*at)++;
+    }
+    if (pick_is_poor(c[*at].u, now_us)) {
+        *at = 0;
+    }
     return has_room(c[*at].u, in->route->rank, now_us) ? c[*at].u : NULL;
 }
 
--- a/src/pick.h
+++ b/src/pick.h
@@ -62,6 +62,10 @@
  */
 Ups *pick_upstream(const PickIn *in, int64_t now_us, PickWhy *why);
 
+/* True when an upstream fails or is slow so often that a cold one is better.
+ */
+bool pick_is_poor(const Ups *u, int64_t now_us);
+
 const char *pick_why_name(PickWhy w);
 
 #endif
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -12,6 +12,9 @@
 #define BACKLOG_BYTES (256 * 1024)
 /* An answer may take this long on its way back to the caller's side. */
 #define ANSWER_MARGIN_US 5000
+/* Times the usual time after which an attempt without an answer says that
+ * its upstream is slow or silent; a cold run takes about 3. */
+#define OVERDUE_TIMES 4.0
 #define COLD_VMS 4 /* VMs that use one cold upstream */
 
 Ups *
@@ -39,6 +42,13 @@
     return pick_upstream(&in, now_us, &r->why);
 }
 
+/* When the attempt under way says that its upstream is slow. */
+static int64_t
+overdue_at(const Req *r)
+{
+    return r->sent_us + (int64_t)(r->demand->work_s * 1e6 * OVERDUE_TIMES) + 1;
+}
+
 /* True when another attempt is allowed; takes a part of the budget. */
 static bool
 may_again(Req *r, int64_t now_us)
@@ -56,6 +66,21 @@
            demand_retry(p->o.demand, r->demand, p->n_vms, now_us);
 }
 
+/* The upstream for a further attempt, whose part of the budget is taken;
+ * NULL: none is allowed or there is none. */
+static Ups *
+pick_again(Req *r, int64_t now_us)
+{
+    return may_again(r, now_us) ? pxtry_pick(r, now_us) : NULL;
+}
+
+static void
+go_on_elsewhere(Req *r, Ups *next, bool seen, int64_t now_us)
+{
+    r->p->counts[PX_RETRIES] += seen ? 1 : 0;
+    pxtry_start(r, next, now_us);
+}
+
 /* Decides what follows the end of an attempt.  The connection is closed or
  * given back by then. */
 static void
@@ -67,19 +92,17 @@
     if (end == UP_LOST) {
         crash_lost(r->p->o.crashes, r->print, r->u, now_us);
     }
-
     pxreq_drop_upstream(r);
     r->arrivals += seen ? 1 : 0;
     r->ran = r->ran || (seen && end != UP_NOT_RUN);
     OutcomeIn in = {end, r->route->idempotent, r->ran, true};
     if (outcome_decide(&in) == OUT_AGAIN) {
-        in.may_again =
-            may_again(r, now_us) && (next = pxtry_pick(r, now_us)) != NULL;
+        next = pick_again(r, now_us);
+        in.may_again = next != NULL;
     }
     OutcomeAct act = outcome_decide(&in);
-    if (act == OUT_AGAIN && next != NULL) {
-        r->p->counts[PX_RETRIES] += seen ? 1 : 0;
-        pxtry_start(r, next, now_us);
+    if (act == OUT_AGAIN) {
+        go_on_elsewhere(r, next, seen, now_us);
         return;
     }
     pxreq_end_by(r, act, now_us);
@@ -221,21 +244,70 @@
     }
 }
 
+/* Counts an attempt that waits for its answer as a slow one. */
+static void
+note_wait(const Req *r, int64_t now_us)
+{
+    double usual_us = r->demand->work_s * 1e6;
+    double waited_us = (double)(now_us - r->sent_us);
+
+    if (r->u != NULL && waited_us >= usual_us * OVERDUE_TIMES) {
+        ups_saw_time(r->u, waited_us / usual_us, now_us);
+    }
+}
+
+/* An attempt has no answer yet and is overdue.  Work that may be repeated
+ * goes elsewhere when others wait there in vain too. */
+static void
+attempt_overdue(Req *r, int64_t now_us)
+{
+    Ups *next = NULL;
+
+    note_wait(r, now_us);
+    ups_saw_end(r->u, false, now_us);
+    if (r->route->idempotent && r->state == REQ_SENT &&
+        pick_is_poor(r->u, now_us)) {
+        r->arrivals++;
+        next = pick_again(r, now_us);
+        r->arrivals--;
+    }
+    if (next == NULL) {
+        evl_arm(r->p->o.loop, &r->timer, r->end_us);
+        return;
+    }
+    crash_lost(r->p->o.crashes, r->print, r->u, now_us);
+    pxreq_drop_upstream(r);
+    r->arrivals++;
+    r->ran = true;
+    go_on_elsewhere(r, next, true, now_us);
+}
+
+/* Looks at an attempt before its time is over. */
+static void
+look_at_attempt(Req *r, bool sent, int64_t now_us)
+{
+    int64_t overdue_us = overdue_at(r);
+
+    if (!sent) {
+        ups_saw_down(r->u, now_us);
+        attempt_ended(r, UP_NOT_SENT, now_us);
+    }
+    else if (now_us >= overdue_us) {
+        attempt_overdue(r, now_us);
+    }
+    else {
+        evl_arm(r->p->o.loop, &r->timer, MIN(r->end_us, overdue_us));
+    }
+}
+
 static void
 on_timer(void *ctx, int64_t now_us)
 {
     Req *r = ctx;
-
     bool sent = r->conn != NULL && uconn_connected(r->conn);
 
     if (now_us < r->end_us) {
-        /* Armed early to look at the connection. */
-        if (!sent) {
-            ups_saw_down(r->u, now_us);
-            attempt_ended(r, UP_NOT_SENT, now_us);
-            return;
-        }
-        evl_arm(r->p->o.loop, &r->timer, r->end_us);
+        look_at_attempt(r, sent, now_us);
         return;
     }
     if (r->state == REQ_STREAMING) {
@@ -248,6 +320,7 @@
     }
     if (sent) {
         ups_saw_end(r->u, false, now_us);
+        note_wait(r, now_us);
     }
     if (!sent && !r->ran) {
         pxreq_end_by(r, OUT_NOT_RUN, now_us);
@@ -281,9 +354,9 @@
     uconn_send(r->conn, head->str, head->len, r->head->body->data,
                r->head->body->len, r->head->parser.method == HTTP_HEAD);
     g_string_free(head, TRUE);
-    evl_arm(p->o.loop, &r->timer,
-            uconn_connected(r->conn) ? r->end_us
-                                     : MIN(r->end_us, now_us + CONNECT_US));
+    int64_t look_us =
+        uconn_connected(r->conn) ? overdue_at(r) : now_us + CONNECT_US;
+    evl_arm(p->o.loop, &r->timer, MIN(r->end_us, look_us));
 }
 
 void
--- a/src/ups.c
+++ b/src/ups.c
@@ -15,6 +15,11 @@
 #define FAILS_FADE_US 3e6    /* a failing target is tried again by then */
 #define SLOWNESS_WEIGHT 0.15 /* of one answer */
 #define SLOWNESS_FADE_US 4e6 /* disturbances last for seconds */
+/* Three failures in a row are one in 10,000 where 5 % of the answers are
+ * garbled; a silent upstream is tried again after some seconds. */
+#define SILENT_STREAK 3
+#define SILENT_FOR_US 5000000
+#define SEEN_EACH_MAX 8 /* of one VM: it may not decide alone */
 /* A report that moves the end of the cold time by more tells of a new one;
  * reports that are late by less do not. */
 #define COLD_AGAIN_US 1000000
@@ -25,6 +30,7 @@
     int64_t gone_grace_us;
     int64_t calm_us; /* from then on a missing entry is gone at once */
     GHashTable *by_id;
+    GHashTable *by_key;     /* the same, by the hash of the id */
     GHashTable *by_service; /* service hash -> GPtrArray of Ups */
     bool drained[ZONES_MAX];
     int64_t returned_us[ZONES_MAX]; /* when its drain ended */
@@ -51,6 +57,7 @@
     s->gone_grace_us = gone_grace_us;
     s->by_id =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, unref_entry);
+    s->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
     s->by_service =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_list);
     return s;
@@ -60,6 +67,7 @@
 ups_free(UpsSet *s)
 {
     g_hash_table_destroy(s->by_service);
+    g_hash_table_destroy(s->by_key);
     g_hash_table_destroy(s->by_id);
     g_free(s);
 }
@@ -125,6 +133,7 @@
     u->slowness = 1;
     g_queue_init(&u->idle);
     g_hash_table_insert(s->by_id, u->id, u);
+    g_hash_table_insert(s->by_key, &u->key, u);
     list_add(s, u);
     return u;
 }
@@ -135,6 +144,8 @@
     u->others = 0;
     u->fails = 0;
     u->slowness = 1;
+    u->bad_streak = 0;
+    u->seen = (UpsSeen){0};
     u->used = false;
     u->down_us = 0;
 }
@@ -222,6 +233,7 @@
         u->state = UPS_GONE;
         n++;
         list_remove(s, u);
+        g_hash_table_remove(s->by_key, &u->key);
         g_hash_table_iter_remove(&it);
     }
     return n;
@@ -311,6 +323,13 @@
     return 1 + (u->slowness - 1) * fade;
 }
 
+bool
+ups_silent(const Ups *u, int64_t now_us)
+{
+    return u->bad_streak >= SILENT_STREAK &&
+           now_us - u->bad_at_us < SILENT_FOR_US;
+}
+
 void
 ups_saw_load(Ups *u, int running, int waiting, int64_t now_us)
 {
@@ -318,17 +337,19 @@
     u->others_at_us = now_us;
 }
 
-void
-ups_saw_end(Ups *u, bool ok, int64_t now_us)
+static void
+count_end(Ups *u, bool ok, int64_t now_us)
 {
     double f = ups_fails(u, now_us);
 
+    u->bad_streak = ok ? 0 : u->bad_streak + 1;
+    u->bad_at_us = ok ? u->bad_at_us : now_us;
     u->fails = f + FAILS_WEIGHT * ((ok ? 0 : 1) - f);
     u->fails_at_us = now_us;
 }
 
-void
-ups_saw_time(Ups *u, double ratio, int64_t now_us)
+static void
+count_time(Ups *u, double ratio, int64_t now_us)
 {
     double s = ups_slowness(u, now_us);
 
@@ -337,6 +358,65 @@
     u->slowness_at_us = now_us;
 }
 
+void
+ups_saw_end(Ups *u, bool ok, int64_t now_us)
+{
+    u->seen.ok += ok ? 1 : 0;
+    u->seen.failed += ok ? 0 : 1;
+    count_end(u, ok, now_us);
+}
+
+void
+ups_saw_time(Ups *u, double ratio, int64_t now_us)
+{
+    UpsSeen *n = &u->seen;
+
+    n->ratio = (n->ratio * n->timed + MIN(ratio, SLOWNESS_RATIO_MAX)) /
+               (n->timed + 1);
+    n->timed++;
+    count_time(u, ratio, now_us);
+}
+
+int
+ups_take_seen(UpsSet *s, bool failed, UpsSeen *out, int max)
+{
+    GHashTableIter it;
+    gpointer p;
+    int n = 0;
+
+    g_hash_table_iter_init(&it, s->by_id);
+    while (n < max && g_hash_table_iter_next(&it, NULL, &p)) {
+        Ups *u = p;
+        if (failed ? u->seen.failed > 0
+                   : u->seen.failed == 0 && u->seen.ok + u->seen.timed > 0) {
+            out[n] = u->seen;
+            out[n++].key = u->key;
+            u->seen = (UpsSeen){0};
+        }
+    }
+    return n;
+}
+
+void
+ups_heard(UpsSet *s, const UpsSeen *seen, int64_t now_us)
+{
+    Ups *u = g_hash_table_lookup(s->by_key, &seen->key);
+
+    if (u == NULL) {
+        return;
+    }
+    for (int i = 0; i < MIN(seen->failed, SEEN_EACH_MAX); i++) {
+        count_end(u, false, now_us);
+    }
+    /* The order is not told: an answer says that it is not silent. */
+    for (int i = 0; i < MIN(seen->ok, SEEN_EACH_MAX); i++) {
+        count_end(u, true, now_us);
+    }
+    for (int i = 0; i < MIN(seen->timed, SEEN_EACH_MAX); i++) {
+        count_time(u, seen->ratio, now_us);
+    }
+}
+
 void
 ups_saw_down(Ups *u, int64_t now_us)
 {
--- a/src/ups.h
+++ b/src/ups.h
@@ -32,6 +32,15 @@
     uint64_t boot_ms;       /* wall time of its start; 0: not told */
 } UpsReport;
 
+/* What a VM saw of an upstream within a short time. */
+typedef struct UpsSeen {
+    uint64_t key; /* of the upstream */
+    int ok;       /* attempts that ended well ... */
+    int failed;   /* ... and that did not */
+    int timed;    /* attempts whose time is known */
+    double ratio; /* their mean time over the service's usual one */
+} UpsSeen;
+
 typedef struct Ups {
     int refs;
     char *id;
@@ -57,6 +66,10 @@
     double slowness; /* service time over the service's usual one */
     int64_t slowness_at_us;
 
+    int bad_streak; /* attempts in a row that ended badly or are overdue */
+    int64_t bad_at_us;
+    UpsSeen seen; /* by this VM since ups_take_seen() */
+
     bool used; /* this VM has sent it a request since its start */
     GQueue idle;
     int n_conns;
@@ -122,10 +135,22 @@
 double ups_fails(const Ups *u, int64_t now_us);
 double ups_slowness(const Ups *u, int64_t now_us);
 
+/* True when the last attempts that are known of, by whatever VM, got no
+ * answer: in a large fleet they are too few for the averages. */
+bool ups_silent(const Ups *u, int64_t now_us);
+
 /* Observations of this VM. */
 void ups_saw_load(Ups *u, int running, int waiting, int64_t now_us);
 void ups_saw_end(Ups *u, bool ok, int64_t now_us);
 void ups_saw_time(Ups *u, double ratio, int64_t now_us);
 void ups_saw_down(Ups *u, int64_t now_us);
 
+/* Observations of this VM since the last call, for other VMs; in a large
+ * fleet one VM alone sees too little of each upstream.  failed: of upstreams
+ * with a failed attempt, else of the others.  Returns the count. */
+int ups_take_seen(UpsSet *s, bool failed, UpsSeen *out, int max);
+
+/* Observations of another VM; counted like those of this one. */
+void ups_heard(UpsSet *s, const UpsSeen *seen, int64_t now_us);
+
 #endif
