--- /dev/null
+++ b/standins/platform_store.h
@@ -0,0 +1,471 @@
+/*
+ * platform_store - the store of standin-platform: items, leases, watches and
+ * the control calls of tests.
+ */
+#ifndef MIMOSA_PLATFORM_STORE_H
+#define MIMOSA_PLATFORM_STORE_H
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "caller.h"
+#include "evl.h"
+#include "pf.h"
+
+#define STANDIN_TARGETS 32
+#define BEAT_US 500000
+#define SLOW_US 1000000
+#define LARGE_BYTES (700 * 1024)
+#define HELD_BYTES (64 * 1024 * 1024)
+#define RUN_SLOTS 4
+
+typedef enum Mode {
+    MODE_OK,
+    MODE_BUSY,
+    MODE_REFUSE,
+    MODE_SILENT,
+    MODE_FORGET
+} Mode;
+
+static const char *const mode_names[] = {"ok", "busy", "refuse", "silent",
+                                         "forget"};
+
+typedef struct Item {
+    char *key;
+    char *text; /* base64; NULL: removed */
+    uint64_t rev;
+    uint64_t lease;
+} Item;
+
+typedef struct Lease {
+    uint64_t id;
+    int64_t end_us;
+    int64_t ttl_us;
+} Lease;
+
+typedef struct Watch {
+    struct Platform *p;
+    Caller *caller;
+    char *prefix;
+    uint64_t after;
+    EvlTimer timer;
+} Watch;
+
+typedef struct Target {
+    struct Platform *p;
+    char id[NAME_BYTES];
+    char service[NAME_BYTES];
+    char zone[NAME_BYTES];
+    struct sockaddr_in at;
+    struct sockaddr_in told; /* the address that it registers */
+    int seq;
+    CallerSet *callers;
+} Target;
+
+typedef struct Late {
+    Target *t;
+    Caller *caller;
+    char *id;
+    EvlTimer timer;
+} Late;
+
+typedef struct Platform {
+    Evl *loop;
+    Mode mode;
+    uint64_t rev;
+    uint64_t next_lease;
+    GPtrArray *items; /* the newest of each key, removed ones included */
+    GArray *leases;   /* Lease */
+    GPtrArray *watches;
+    GHashTable *runs; /* attempt id -> count */
+    Target targets[STANDIN_TARGETS];
+    int n_targets;
+    CallerSet *callers;
+    EvlTimer beat;
+} Platform;
+
+static void
+item_free(gpointer data)
+{
+    Item *i = data;
+
+    g_free(i->key);
+    g_free(i->text);
+    g_free(i);
+}
+
+static void
+answer(Caller *c, int status, const char *body)
+{
+    char head[96];
+
+    snprintf(head, sizeof(head),
+             "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n",
+             status);
+    caller_answer(c, str_of(head), body, strlen(body));
+}
+
+/* Value of a name in the query, decoded; release with g_free(). */
+static char *
+query(Str target, const char *name)
+{
+    char *t = g_strndup(target.p, target.n);
+    char *q = strchr(t, '?');
+    char *out = NULL;
+    char **parts = g_strsplit(q == NULL ? "" : q + 1, "&", 0);
+
+    for (int i = 0; parts[i] != NULL; i++) {
+        size_t n = strlen(name);
+        if (strncmp(parts[i], name, n) == 0 && parts[i][n] == '=') {
+            out = g_uri_unescape_string(parts[i] + n + 1, NULL);
+        }
+    }
+    g_strfreev(parts);
+    g_free(t);
+    return out;
+}
+
+static void
+add_item(GString *g, const Item *it)
+{
+    g_string_append_printf(g, "%s{\"Key\":\"%s\",\"Rev\":%" G_GUINT64_FORMAT,
+                           g->str[g->len - 1] == '[' ? "" : ",", it->key,
+                           it->rev);
+    if (it->text == NULL) {
+        g_string_append(g, ",\"Deleted\":true}");
+    }
+    else {
+        g_string_append_printf(g, ",\"Value\":\"%s\"}", it->text);
+    }
+}
+
+/* Answers a watch when there is something to tell, or always when last. */
+static bool
+answer_watch(Watch *w, bool last)
+{
+    Platform *p = w->p;
+    GString *g = g_string_new("{\"events\":[");
+    size_t empty = g->len;
+
+    for (guint i = 0; i < p->items->len; i++) {
+        const Item *it = g_ptr_array_index(p->items, i);
+        if (it->rev > w->after && g_str_has_prefix(it->key, w->prefix)) {
+            add_item(g, it);
+        }
+    }
+    bool done = last || g->len > empty;
+    if (done) {
+        g_string_append_printf(g, "],\"CurrentRev\":%" G_GUINT64_FORMAT "}",
+                               p->rev);
+        caller_set_user(w->caller, NULL);
+        answer(w->caller, 200, g->str);
+    }
+    g_string_free(g, TRUE);
+    return done;
+}
+
+static void
+watch_free(Watch *w)
+{
+    evl_disarm(w->p->loop, &w->timer);
+    g_ptr_array_remove_fast(w->p->watches, w);
+    g_free(w->prefix);
+    g_free(w);
+}
+
+static void
+on_watch_end(void *ctx, int64_t now_us)
+{
+    (void)now_us;
+    answer_watch(ctx, true);
+    watch_free(ctx);
+}
+
+static void
+changed(Platform *p)
+{
+    for (guint i = p->watches->len; i-- > 0;) {
+        Watch *w = g_ptr_array_index(p->watches, i);
+        if (answer_watch(w, false)) {
+            watch_free(w);
+        }
+    }
+}
+
+/* Also finds a key that is removed; NULL: never written. */
+static Item *
+find_item(const Platform *p, const char *key)
+{
+    for (guint i = 0; i < p->items->len; i++) {
+        Item *x = g_ptr_array_index(p->items, i);
+        if (strcmp(x->key, key) == 0) {
+            return x;
+        }
+    }
+    return NULL;
+}
+
+static bool
+has_item(const Platform *p, const char *key)
+{
+    const Item *it = find_item(p, key);
+
+    return it != NULL && it->text != NULL;
+}
+
+/* text NULL: removes. */
+static void
+put(Platform *p, const char *key, const char *text, uint64_t lease)
+{
+    Item *it = find_item(p, key);
+
+    if (it == NULL) {
+        it = g_new0(Item, 1);
+        it->key = g_strdup(key);
+        g_ptr_array_add(p->items, it);
+    }
+    g_free(it->text);
+    it->text = g_strdup(text);
+    it->rev = ++p->rev;
+    it->lease = lease;
+    changed(p);
+}
+
+static void
+put_bytes(Platform *p, const char *key, const void *data, size_t n)
+{
+    char *text = g_base64_encode(data, n);
+
+    put(p, key, text, 0);
+    g_free(text);
+}
+
+static void
+end_leases(Platform *p, int64_t now_us)
+{
+    for (guint i = p->leases->len; i-- > 0;) {
+        Lease l = g_array_index(p->leases, Lease, i);
+        if (now_us < l.end_us) {
+            continue;
+        }
+        g_array_remove_index_fast(p->leases, i);
+        for (guint k = 0; k < p->items->len; k++) {
+            Item *it = g_ptr_array_index(p->items, k);
+            if (it->lease == l.id && it->text != NULL) {
+                put(p, it->key, NULL, 0);
+            }
+        }
+    }
+}
+
+static Lease *
+find_lease(Platform *p, uint64_t id)
+{
+    for (guint i = 0; i < p->leases->len; i++) {
+        Lease *l = &g_array_index(p->leases, Lease, i);
+        if (l->id == id) {
+            return l;
+        }
+    }
+    return NULL;
+}
+
+static void
+on_range(Platform *p, Caller *c, Str target)
+{
+    char *prefix = query(target, "PathPrefix");
+    GString *g = g_string_new("{\"items\":[");
+
+    for (guint i = 0; i < p->items->len; i++) {
+        const Item *it = g_ptr_array_index(p->items, i);
+        if (it->text != NULL && prefix != NULL &&
+            g_str_has_prefix(it->key, prefix)) {
+            add_item(g, it);
+        }
+    }
+    g_string_append_printf(
+        g, "],\"HasMore\":false,\"CurrentRev\":%" G_GUINT64_FORMAT "}",
+        MAX(p->rev, 1));
+    answer(c, 200, g->str);
+    g_string_free(g, TRUE);
+    g_free(prefix);
+}
+
+static void
+on_watch(Platform *p, Caller *c, Str target, int64_t now_us)
+{
+    char *after = query(target, "after");
+    char *wait = query(target, "WaitMs");
+    Watch *w = g_new0(Watch, 1);
+
+    w->p = p;
+    w->caller = c;
+    w->prefix = query(target, "PathPrefix");
+    w->after = after == NULL ? 0 : g_ascii_strtoull(after, NULL, 10);
+    w->timer = (EvlTimer){.fn = on_watch_end, .ctx = w};
+    g_ptr_array_add(p->watches, w);
+    if (p->mode == MODE_FORGET) {
+        p->mode = MODE_OK;
+        watch_free(w);
+        answer(c, 410, "{}");
+    }
+    else if (answer_watch(w, false)) {
+        watch_free(w);
+    }
+    else {
+        caller_set_user(c, w);
+        evl_arm(p->loop, &w->timer,
+                now_us + 1000 * atoll(wait == NULL ? "0" : wait));
+    }
+    g_free(after);
+    g_free(wait);
+}
+
+static void
+on_lease(Platform *p, Caller *c, const H1 *req, int64_t now_us)
+{
+    KvLease l = {0, 0};
+    char body[96];
+    char *text = g_strndup((const char *)req->body->data, req->body->len);
+    char *ttl = strstr(text, "\":\"");
+
+    l.ttl_us = ttl == NULL ? 0 : atoll(ttl + 3) * 1000;
+    Lease x = {++p->next_lease, now_us + l.ttl_us, l.ttl_us};
+    g_array_append_val(p->leases, x);
+    snprintf(body, sizeof(body),
+             "{\"Lease\":%" G_GUINT64_FORMAT ",\"Ttl_time\":\"%lldms\"}", x.id,
+             (long long)(x.ttl_us / 1000));
+    answer(c, 200, body);
+    g_free(text);
+}
+
+/* Field of the one put that the product sends. */
+static char *
+field(const char *text, const char *name)
+{
+    char *at = strstr(text, name);
+
+    if (at == NULL) {
+        return NULL;
+    }
+    at += strlen(name);
+    return g_strndup(at, strcspn(at, "\",}"));
+}
+
+static void
+on_txn(Platform *p, Caller *c, const H1 *req)
+{
+    char *text = g_strndup((const char *)req->body->data, req->body->len);
+    char *key = field(text, "\"Key\":\"");
+    char *value = field(text, "\"Value\":\"");
+    char *lease = field(text, "\"Lease\":");
+    uint64_t id = lease == NULL ? 0 : g_ascii_strtoull(lease, NULL, 10);
+
+    if (id != 0 && find_lease(p, id) == NULL) {
+        answer(c, 404, "{}");
+    }
+    else if (key == NULL || value == NULL) {
+        answer(c, 400, "{}");
+    }
+    else {
+        put(p, key, value, id);
+        answer(c, 200, "{\"Rev\":1}");
+    }
+    g_free(text);
+    g_free(key);
+    g_free(value);
+    g_free(lease);
+}
+
+static void
+on_lease_call(Platform *p, Caller *c, const char *id, bool end, int64_t now_us)
+{
+    Lease *l = find_lease(p, g_ascii_strtoull(id, NULL, 10));
+
+    if (l == NULL) {
+        answer(c, 404, "{}");
+        return;
+    }
+    l->end_us = end ? 0 : now_us + l->ttl_us;
+    end_leases(p, now_us);
+    answer(c, 200, "{}");
+}
+
+static void
+on_test(Platform *p, Caller *c, const char *path, const H1 *req)
+{
+    const char *q = strchr(path, '?');
+    char out[32];
+
+    q = q == NULL ? "" : q + 1;
+    if (g_str_has_prefix(path, "/test/key?")) {
+        put_bytes(p, q, req->body->data, req->body->len);
+    }
+    else if (g_str_has_prefix(path, "/test/delete?")) {
+        put(p, q, NULL, 0);
+    }
+    else if (g_str_has_prefix(path, "/test/mode?")) {
+        for (int i = 0; i < (int)G_N_ELEMENTS(mode_names); i++) {
+            if (strcmp(q, mode_names[i]) == 0) {
+                p->mode = (Mode)i;
+            }
+        }
+    }
+    else if (g_str_has_prefix(path, "/test/runs?")) {
+        snprintf(out, sizeof(out), "%d\n",
+                 GPOINTER_TO_INT(g_hash_table_lookup(p->runs, q)));
+        answer(c, 200, out);
+        return;
+    }
+    answer(c, 200, "{}");
+}
+
+static void
+on_store(void *ctx, Caller *c, const H1 *req, int64_t now_us)
+{
+    Platform *p = ctx;
+    char *path = g_strndup(req->target.p, req->target.n);
+
+    if (g_str_has_prefix(path, "/test/")) {
+        on_test(p, c, path, req);
+    }
+    else if (p->mode == MODE_BUSY || p->mode == MODE_REFUSE) {
+        answer(c, p->mode == MODE_BUSY ? 503 : 429, "{}");
+    }
+    else if (p->mode == MODE_SILENT) {
+        caller_set_user(c, NULL);
+    }
+    else if (g_str_has_prefix(path, "/api/kv-range")) {
+        on_range(p, c, req->target);
+    }
+    else if (g_str_has_prefix(path, "/api/kv-watch")) {
+        on_watch(p, c, req->target, now_us);
+    }
+    else if (strcmp(path, "/api/kv-lease") == 0) {
+        on_lease(p, c, req, now_us);
+    }
+    else if (strcmp(path, "/api/kv-txn") == 0) {
+        on_txn(p, c, req);
+    }
+    else if (g_str_has_prefix(path, "/api/kv-keep/")) {
+        on_lease_call(p, c, path + strlen("/api/kv-keep/"), false, now_us);
+    }
+    else if (g_str_has_prefix(path, "/api/kv-lease-end/")) {
+        on_lease_call(p, c, path + strlen("/api/kv-lease-end/"), true, now_us);
+    }
+    else {
+        answer(c, 404, "{}");
+    }
+    g_free(path);
+}
+
+static void
+on_watcher_left(void *ctx, void *user, int64_t now_us)
+{
+    (void)ctx;
+    (void)now_us;
+    watch_free(user);
+}
+
+#endif
