Share lost attempts only; refuse late requests on a planned stop

Change, 1: only attempts without an answer at an upstream where none waits count as lost and are shared; their times are not shared. 2: requests that come over 3 s after the signal and may outlive the VM are refused at once with Retry-After 0.02 (gate_stops_before). 3: the longest backoff is 1.2 s in place of 0.6 s.

--- a/src/beats.c
+++ b/src/beats.c
@@ -116,10 +116,10 @@
     }
 }
 
-/* Failed attempts are told to all of the region at once: a silent upstream
- * gets few attempts of each VM. */
+/* Lost attempts are told to all of the region at once: a silent upstream gets
+ * few attempts of each VM. */
 static void
-send_failures(const Beats *b, PeerBeat *p)
+send_losses(const Beats *b, PeerBeat *p)
 {
     p->n_needs = 0;
     p->n_objects = 0;
@@ -145,7 +145,7 @@
     /* Bytes between regions are dear, and each region sees enough. */
     p.n_seen = 0;
     send_some(b, &p, false, FANOUT_FAR);
-    send_failures(b, &p);
+    send_losses(b, &p);
 }
 
 static void
--- a/src/edge.c
+++ b/src/edge.c
@@ -39,6 +39,10 @@
 #define STOP_CLOSE_US 1000000
 #define STOP_RESERVE_US 1500000
 #define STOP_EARLIEST_US 3000000
+/* Requests that come so late after the signal must not outlive the VM, and
+ * the time that the last answer has before the VM is killed. */
+#define STOP_LATE_US 3000000
+#define STOP_ANSWER_US 300000
 
 struct Edge {
     Evl *loop;
@@ -556,6 +560,9 @@
     if (v != NULL) {
         v->leaving = true;
     }
+    GateStop stop = {g->leave_us + STOP_LATE_US,
+                     g->leave_us + g->set.stop_us - STOP_ANSWER_US};
+    px_leave(g->px, &stop);
     beats_send(g->beats, true, g->leave_us);
     write_record(g);
 }
--- a/src/gate.c
+++ b/src/gate.c
@@ -29,3 +29,9 @@
     out.retry_us = MAX(out.retry_us, 1000);
     return out;
 }
+
+bool
+gate_stops_before(const GateStop *s, int64_t end_us, int64_t now_us)
+{
+    return s->until_us != 0 && now_us > s->late_us && end_us > s->until_us;
+}
--- a/src/gate.h
+++ b/src/gate.h
@@ -28,4 +28,14 @@
 
 GateOut gate_decide(const GateIn *in);
 
+/* A planned stop of this VM; all 0: none. */
+typedef struct GateStop {
+    int64_t late_us;  /* from then on no request may outlive the stop */
+    int64_t until_us; /* by then all answers have to be out */
+} GateStop;
+
+/* True when a request has to be refused, since it may still be under way when
+ * this VM ends.  end_us: when its time is over. */
+bool gate_stops_before(const GateStop *s, int64_t end_us, int64_t now_us);
+
 #endif
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -5,7 +5,7 @@
 
 #define CALL_TIMEOUT_US 1000000
 #define BACKOFF_MIN_US 150000
-#define BACKOFF_MAX_US 600000
+#define BACKOFF_MAX_US 1200000 /* current again within 3 s of a return */
 #define RELIST_US 250000
 #define GAP_US 100000 /* until the watch after a gap in the news, at most */
 #define LEASE_TTL_US 4000000
--- a/src/peer.c
+++ b/src/peer.c
@@ -63,27 +63,21 @@
     return TRUE;
 }
 
-#define SEEN_COUNT_MAX 255
-#define SEEN_SCALE 10.0 /* ratios are sent in tenths */
+#define SEEN_COUNT_MAX 0xffff
 
-/* Three counts and the ratio, a byte each. */
+/* Both counts in one word. */
 static bool_t
 xdr_seen(XDR *x, UpsSeen *s)
 {
     u_quad_t key = s->key;
-    u_int packed = (u_int)MIN(s->ok, SEEN_COUNT_MAX) << 24 |
-                   (u_int)MIN(s->failed, SEEN_COUNT_MAX) << 16 |
-                   (u_int)MIN(s->timed, SEEN_COUNT_MAX) << 8 |
-                   (u_int)MIN(s->ratio * SEEN_SCALE, SEEN_COUNT_MAX);
+    u_int packed = (u_int)MIN(s->ok, SEEN_COUNT_MAX) << 16 |
+                   (u_int)MIN(s->lost, SEEN_COUNT_MAX);
 
     if (!xdr_u_int64_t(x, &key) || !xdr_u_int(x, &packed)) {
         return FALSE;
     }
-    *s = (UpsSeen){.key = key,
-                   .ok = (int)(packed >> 24),
-                   .failed = (int)(packed >> 16 & 0xff),
-                   .timed = (int)(packed >> 8 & 0xff),
-                   .ratio = (packed & 0xff) / SEEN_SCALE};
+    *s = (UpsSeen){
+        .key = key, .ok = (int)(packed >> 16), .lost = (int)(packed & 0xffff)};
     return TRUE;
 }
 
--- a/src/px.c
+++ b/src/px.c
@@ -7,6 +7,7 @@
 #include "pxtry.h"
 
 #define HOLD_STEP_US 8000         /* between looks for room */
+#define RETRY_LEAVING_US 20000    /* other VMs take it at once */
 #define RETRY_NO_ROUTES_US 500000 /* the first configuration is on its way */
 /* An answer that is nearly there when the time is over is still waited for;
  * after a quarter of a second the platform counts the request as held. */
@@ -113,6 +114,10 @@
         pxreq_say(r, PX_CRASHES, 503, "crashes_upstreams", 0, now_us);
         return;
     }
+    if (gate_stops_before(&p->stop, r->end_us, now_us)) {
+        pxreq_say(r, PX_REFUSED, 503, "leaving", RETRY_LEAVING_US, now_us);
+        return;
+    }
     dispatch(r, now_us);
 }
 
@@ -229,6 +234,12 @@
     p->reach_us = reach_us;
 }
 
+void
+px_leave(Px *p, const GateStop *stop)
+{
+    p->stop = *stop;
+}
+
 void
 px_metrics(const Px *p, GString *out)
 {
--- a/src/px.h
+++ b/src/px.h
@@ -15,6 +15,7 @@
 #include "crash.h"
 #include "demand.h"
 #include "dlog.h"
+#include "gate.h"
 #include "pick.h"
 #include "pxhead.h"
 #include "uconn.h"
@@ -48,6 +49,9 @@
 /* Longest round trip between regions; 0: not known. */
 void px_set_reach(Px *p, int64_t reach_us);
 
+/* From stop->late_us on, refuses requests that may outlive the VM. */
+void px_leave(Px *p, const GateStop *stop);
+
 /* Functions for callers_new(), with the Px as context. */
 extern const CallerFns px_caller_fns;
 
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -7,7 +7,6 @@
 #ifndef MIMOSA_PXREQ_H
 #define MIMOSA_PXREQ_H
 
-#include "gate.h"
 #include "hist.h"
 #include "outcome.h"
 #include "px.h"
@@ -62,6 +61,7 @@
     int n_vms;
     int self;
     int64_t reach_us;
+    GateStop stop;
     GQueue held;
     EvlTimer hold_timer;
     int64_t counts[PX_COUNTS];
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -231,11 +231,11 @@
         attempt_ended(r, UP_NOT_SENT, now_us);
         break;
     case UCONN_GARBLED:
-        ups_saw_end(r->u, false, now_us);
+        ups_saw_lost(r->u, now_us);
         attempt_ended(r, end == UP_CUT ? UP_CUT : UP_GARBLED, now_us);
         break;
     case UCONN_LOST:
-        ups_saw_end(r->u, false, now_us);
+        ups_saw_lost(r->u, now_us);
         attempt_ended(r, end, now_us);
         break;
     case UCONN_CONNECTED:
@@ -244,15 +244,16 @@
     }
 }
 
-/* Counts an attempt that waits for its answer as a slow one. */
+/* Counts an attempt that waits for its answer in vain.  Where others wait for
+ * a slot there the time says nothing about the upstream. */
 static void
 note_wait(const Req *r, int64_t now_us)
 {
-    double usual_us = r->demand->work_s * 1e6;
-    double waited_us = (double)(now_us - r->sent_us);
-
-    if (r->u != NULL && waited_us >= usual_us * OVERDUE_TIMES) {
-        ups_saw_time(r->u, waited_us / usual_us, now_us);
+    if (now_us >= overdue_at(r) && ups_load(r->u, now_us) <= r->u->slots) {
+        ups_saw_lost(r->u, now_us);
+    }
+    else {
+        ups_saw_end(r->u, false, now_us);
     }
 }
 
@@ -263,8 +264,9 @@
 {
     Ups *next = NULL;
 
-    note_wait(r, now_us);
-    ups_saw_end(r->u, false, now_us);
+    if (ups_load(r->u, now_us) <= r->u->slots) {
+        ups_saw_lost(r->u, now_us);
+    }
     if (r->route->idempotent && r->state == REQ_SENT &&
         pick_is_poor(r->u, now_us)) {
         r->arrivals++;
@@ -319,7 +321,6 @@
         return;
     }
     if (sent) {
-        ups_saw_end(r->u, false, now_us);
         note_wait(r, now_us);
     }
     if (!sent && !r->ran) {
--- a/src/ups.c
+++ b/src/ups.c
@@ -15,7 +15,7 @@
 #define FAILS_FADE_US 3e6    /* a failing target is tried again by then */
 #define SLOWNESS_WEIGHT 0.15 /* of one answer */
 #define SLOWNESS_FADE_US 4e6 /* disturbances last for seconds */
-/* Three failures in a row are one in 10,000 where 5 % of the answers are
+/* Three lost attempts in a row are one in 10,000 where 5 % of the answers are
  * garbled; a silent upstream is tried again after some seconds. */
 #define SILENT_STREAK 3
 #define SILENT_FOR_US 5000000
@@ -342,43 +342,45 @@
 {
     double f = ups_fails(u, now_us);
 
-    u->bad_streak = ok ? 0 : u->bad_streak + 1;
-    u->bad_at_us = ok ? u->bad_at_us : now_us;
+    u->bad_streak = ok ? 0 : u->bad_streak;
     u->fails = f + FAILS_WEIGHT * ((ok ? 0 : 1) - f);
     u->fails_at_us = now_us;
 }
 
 static void
-count_time(Ups *u, double ratio, int64_t now_us)
+count_lost(Ups *u, int64_t now_us)
 {
-    double s = ups_slowness(u, now_us);
-
-    ratio = MIN(ratio, SLOWNESS_RATIO_MAX);
-    u->slowness = s + SLOWNESS_WEIGHT * (ratio - s);
-    u->slowness_at_us = now_us;
+    count_end(u, false, now_us);
+    u->bad_streak++;
+    u->bad_at_us = now_us;
 }
 
 void
 ups_saw_end(Ups *u, bool ok, int64_t now_us)
 {
     u->seen.ok += ok ? 1 : 0;
-    u->seen.failed += ok ? 0 : 1;
     count_end(u, ok, now_us);
 }
 
+void
+ups_saw_lost(Ups *u, int64_t now_us)
+{
+    u->seen.lost++;
+    count_lost(u, now_us);
+}
+
 void
 ups_saw_time(Ups *u, double ratio, int64_t now_us)
 {
-    UpsSeen *n = &u->seen;
+    double s = ups_slowness(u, now_us);
 
-    n->ratio = (n->ratio * n->timed + MIN(ratio, SLOWNESS_RATIO_MAX)) /
-               (n->timed + 1);
-    n->timed++;
-    count_time(u, ratio, now_us);
+    ratio = MIN(ratio, SLOWNESS_RATIO_MAX);
+    u->slowness = s + SLOWNESS_WEIGHT * (ratio - s);
+    u->slowness_at_us = now_us;
 }
 
 int
-ups_take_seen(UpsSet *s, bool failed, UpsSeen *out, int max)
+ups_take_seen(UpsSet *s, bool lost, UpsSeen *out, int max)
 {
     GHashTableIter it;
     gpointer p;
@@ -387,8 +389,7 @@
     g_hash_table_iter_init(&it, s->by_id);
     while (n < max && g_hash_table_iter_next(&it, NULL, &p)) {
         Ups *u = p;
-        if (failed ? u->seen.failed > 0
-                   : u->seen.failed == 0 && u->seen.ok + u->seen.timed > 0) {
+        if (lost ? u->seen.lost > 0 : u->seen.lost == 0 && u->seen.ok > 0) {
             out[n] = u->seen;
             out[n++].key = u->key;
             u->seen = (UpsSeen){0};
@@ -405,16 +406,13 @@
     if (u == NULL) {
         return;
     }
-    for (int i = 0; i < MIN(seen->failed, SEEN_EACH_MAX); i++) {
-        count_end(u, false, now_us);
+    for (int i = 0; i < MIN(seen->lost, SEEN_EACH_MAX); i++) {
+        count_lost(u, now_us);
     }
     /* The order is not told: an answer says that it is not silent. */
     for (int i = 0; i < MIN(seen->ok, SEEN_EACH_MAX); i++) {
         count_end(u, true, now_us);
     }
-    for (int i = 0; i < MIN(seen->timed, SEEN_EACH_MAX); i++) {
-        count_time(u, seen->ratio, now_us);
-    }
 }
 
 void
--- a/src/ups.h
+++ b/src/ups.h
@@ -36,9 +36,7 @@
 typedef struct UpsSeen {
     uint64_t key; /* of the upstream */
     int ok;       /* attempts that ended well ... */
-    int failed;   /* ... and that did not */
-    int timed;    /* attempts whose time is known */
-    double ratio; /* their mean time over the service's usual one */
+    int lost;     /* ... and that got no answer */
 } UpsSeen;
 
 typedef struct Ups {
@@ -66,7 +64,7 @@
     double slowness; /* service time over the service's usual one */
     int64_t slowness_at_us;
 
-    int bad_streak; /* attempts in a row that ended badly or are overdue */
+    int bad_streak; /* attempts in a row that got no answer */
     int64_t bad_at_us;
     UpsSeen seen; /* by this VM since ups_take_seen() */
 
@@ -139,16 +137,18 @@
  * answer: in a large fleet they are too few for the averages. */
 bool ups_silent(const Ups *u, int64_t now_us);
 
-/* Observations of this VM. */
+/* Observations of this VM.  An attempt is lost when no answer came though
+ * none had to wait there; a refusal or an answer that queued is not. */
 void ups_saw_load(Ups *u, int running, int waiting, int64_t now_us);
 void ups_saw_end(Ups *u, bool ok, int64_t now_us);
+void ups_saw_lost(Ups *u, int64_t now_us);
 void ups_saw_time(Ups *u, double ratio, int64_t now_us);
 void ups_saw_down(Ups *u, int64_t now_us);
 
 /* Observations of this VM since the last call, for other VMs; in a large
- * fleet one VM alone sees too little of each upstream.  failed: of upstreams
- * with a failed attempt, else of the others.  Returns the count. */
-int ups_take_seen(UpsSet *s, bool failed, UpsSeen *out, int max);
+ * fleet one VM alone sees too little of each upstream.  lost: of upstreams
+ * with a lost attempt, else of the others.  Returns the count. */
+int ups_take_seen(UpsSet *s, bool lost, UpsSeen *out, int max);
 
 /* Observations of another VM; counted like those of this one. */
 void ups_heard(UpsSet *s, const UpsSeen *seen, int64_t now_us);
