--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -100,12 +100,11 @@
         next = pick_again(r, now_us);
         in.may_again = next != NULL;
     }
-    OutcomeAct act = outcome_decide(&in);
-    if (act == OUT_AGAIN) {
+    if (next != NULL) {
         go_on_elsewhere(r, next, seen, now_us);
         return;
     }
-    pxreq_end_by(r, act, now_us);
+    pxreq_end_by(r, outcome_decide(&in), now_us);
 }
 
 static void
--- a/tests/platform_path.sh
+++ b/tests/platform_path.sh
@@ -201,9 +201,10 @@
 }
 put_off=$(($(metric 1 edge_watches_put_off_total) + $(metric 3 edge_watches_put_off_total)))
 check watches_put_off "$([ "$put_off" -ge 4 ] && echo yes || echo "$put_off")" yes
-for pair in "1 3" "3 1"; do
-    eval "still=\$vm${pair% *}"
-    v=${pair#* }
+# drained_alone STOPPED_PID VM
+drained_alone() {
+    still=$1
+    v=$2
     kill -STOP "$still"
     seen=$(grep -c 'id=west-a event=drained' "$dir/vm$v.log")
     control '/test/key?op/evacuate/west-a' '{}'
@@ -212,7 +213,9 @@
     control '/test/delete?op/evacuate/west-a'
     kill -CONT "$still"
     sleep 1.5
-done
+}
+drained_alone "$vm1" 3
+drained_alone "$vm3" 1
 
 # Guards against a stop of serving while the store is away, in each manner.
 for mode in busy refuse silent; do
