--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -262,12 +262,12 @@
 attempt_overdue(Req *r, int64_t now_us)
 {
     Ups *next = NULL;
+    bool waits = r->state == REQ_SENT; /* and does not read a long answer */
 
-    if (ups_load(r->u, now_us) <= r->u->slots) {
+    if (waits && ups_load(r->u, now_us) <= r->u->slots) {
         ups_saw_lost(r->u, now_us);
     }
-    if (r->route->idempotent && r->state == REQ_SENT &&
-        pick_is_poor(r->u, now_us)) {
+    if (waits && r->route->idempotent && pick_is_poor(r->u, now_us)) {
         r->arrivals++;
         next = pick_again(r, now_us);
         r->arrivals--;
