--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -36,6 +36,7 @@
     KvPage page = {0};
     KvLease lease;
     PeerBeat beat;
+    News news;
     Places places = {0};
     PfResolve q = {{0}, {0}};
     Vm vm;
@@ -53,6 +54,9 @@
     kv_page_clear(&page);
     pf_kv.read_lease(text, &lease, NULL);
     peer_decode(&beat, (const char *)data, size, NULL);
+    if (news_decode(&news, (const char *)data, size, NULL)) {
+        kv_page_clear(&news.page);
+    }
     places_add(&places, str_of("a"), str_of("r"));
     vml_read(&vm, str_of("v"), text, &places, NULL);
     pf_call(text, &q);
