--- /dev/null
+++ b/tests/test_dlog.c
@@ -0,0 +1,107 @@
+/* Tests of dlog: structured lines that never block and stay bounded. */
+#include "t.h"
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "dlog.h"
+
+#define S INT64_C(1000000)
+#define RATE 60.0 /* lines about requests a second */
+#define BUFFER_BYTES (64 * 1024)
+#define LINES 20000
+
+static void
+write_line(Dlog *d, int i)
+{
+    dlog_event(d, DLOG_INFO, "request",
+               "id=%016x event=answered status=200 route=read config=7 "
+               "service=desk rank=1 object=%x upstream=u-1 pick=first "
+               "attempts=1 ran=0 load=2.0 load_age_ms=12 took_ms=150",
+               i, i);
+}
+
+/* Reads all that the pipe has and counts its lines. */
+static int
+read_lines(int fd, GString *text)
+{
+    char buf[4096];
+    ssize_t n;
+    int lines = 0;
+
+    fcntl(fd, F_SETFL, O_NONBLOCK);
+    while ((n = read(fd, buf, sizeof(buf))) > 0) {
+        for (ssize_t i = 0; i < n; i++) {
+            lines += buf[i] == '\n' ? 1 : 0;
+        }
+        g_string_append_len(text, buf, n);
+    }
+    return lines;
+}
+
+/* Guards against a process that waits for a reader of its standard output,
+ * and against lines that vanish without being counted. */
+START_TEST(an_unread_output_blocks_nothing)
+{
+    int fds[2];
+    GString *text = g_string_new(NULL);
+    int lines = 0;
+
+    ck_assert_int_eq(pipe(fds), 0);
+    DlogOpts o = {fds[1], RATE, BUFFER_BYTES};
+    Dlog *d = dlog_new(&o);
+    int64_t begin = g_get_monotonic_time();
+    for (int i = 0; i < LINES; i++) {
+        write_line(d, i);
+        dlog_flush(d);
+    }
+    printf("a line costs %.2f us\n",
+           (double)(g_get_monotonic_time() - begin) / LINES);
+    int64_t dropped = dlog_dropped(d);
+    ck_assert_int_gt(dropped, LINES / 2);
+    while (true) {
+        int n = read_lines(fds[0], text);
+        if (n == 0) {
+            break;
+        }
+        lines += n;
+        dlog_flush(d);
+    }
+    /* One line more tells how many were dropped. */
+    ck_assert_int_eq(lines, LINES - dropped + 1);
+    char *told = g_strdup_printf("event=dropped lines=%d\n", (int)dropped);
+    ck_assert_ptr_nonnull(strstr(text->str, told));
+    g_free(told);
+    dlog_free(d);
+    g_string_free(text, TRUE);
+    close(fds[0]);
+    close(fds[1]);
+}
+END_TEST
+
+/* Guards against a log that grows with the load, and against usual lines that
+ * take the place of those about failures. */
+START_TEST(lines_of_requests_are_bounded_under_a_burst)
+{
+    DlogOpts o = {STDOUT_FILENO, RATE, BUFFER_BYTES};
+    Dlog *d = dlog_new(&o);
+    int usual = 0;
+    int failures = 0;
+
+    for (int64_t t = 0; t < 10 * S; t += 100) {
+        usual += dlog_may(d, false, S + t) ? 1 : 0;
+        if (t % 10000 == 0) {
+            failures += dlog_may(d, true, S + t) ? 1 : 0;
+        }
+    }
+    ck_assert_int_le(usual + failures, (int)(RATE * 11));
+    ck_assert_int_ge(failures, (int)(RATE * 0.7 * 10));
+    ck_assert_int_eq(dlog_dropped(d), 100000 + 1000 - usual - failures);
+    dlog_free(d);
+}
+END_TEST
+
+T_MAIN("dlog", an_unread_output_blocks_nothing,
+       lines_of_requests_are_bounded_under_a_burst)
