--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -6,6 +6,7 @@
 
 #include "ctl_cmd.h"
 #include "mimosascale.h"
+#include "progopts.h"
 
 #define TIMEOUT_MS 10000
 #define WAIT_S_MAX 3600
@@ -77,8 +78,10 @@
 }
 
 static bool
-set_option(CtlOpts *o, int opt, const char *arg, Err *e)
+set_option(void *ctx, int opt, const char *arg, Err *e)
 {
+    CtlOpts *o = ctx;
+
     switch (opt) {
     case 'c':
         o->config = arg;
@@ -109,21 +112,10 @@
 static int
 read_options(int argc, char **argv, CtlOpts *o, Err *e)
 {
-    for (int opt;
-         (opt = getopt_long(argc, argv, "", long_opts, NULL)) != -1;) {
-        if (opt == 'h') {
-            print_help(stdout);
-            return 0;
-        }
-        if (opt == 'v') {
-            puts("mimosactl " MIMOSA_VERSION);
-            return 0;
-        }
-        if (!set_option(o, opt, optarg, e)) {
-            return err_exit_code(e->kind);
-        }
-    }
-    return -1;
+    static const ProgOptions p = {"mimosactl", long_opts, print_help,
+                                  set_option};
+
+    return prog_options(&p, argc, argv, o, e);
 }
 
 static const Command *
--- a/src/load_main.c
+++ b/src/load_main.c
@@ -7,6 +7,7 @@
 
 #include "load.h"
 #include "mimosascale.h"
+#include "progopts.h"
 #include "settings.h"
 
 static const struct option long_opts[] = {
@@ -96,8 +97,9 @@
 }
 
 static bool
-set_option(LoadOpts *o, int opt, const char *arg, Err *e)
+set_option(void *ctx, int opt, const char *arg, Err *e)
 {
+    LoadOpts *o = ctx;
     double d = 0;
 
     switch (opt) {
@@ -134,19 +136,12 @@
 static int
 read_options(int argc, char **argv, LoadOpts *o, Err *e)
 {
-    for (int opt;
-         (opt = getopt_long(argc, argv, "", long_opts, NULL)) != -1;) {
-        if (opt == 'h') {
-            print_help(stdout);
-            return 0;
-        }
-        if (opt == 'v') {
-            puts("mimosa-load " MIMOSA_VERSION);
-            return 0;
-        }
-        if (!set_option(o, opt, optarg, e)) {
-            return err_exit_code(e->kind);
-        }
+    static const ProgOptions p = {"mimosa-load", long_opts, print_help,
+                                  set_option};
+    int rc = prog_options(&p, argc, argv, o, e);
+
+    if (rc >= 0) {
+        return rc;
     }
     if (o->n_lookups == 0 || o->n_flows == 0 || optind != argc) {
         err_set(e, ERR_USAGE,
--- a/src/progopts.c
+++ b/src/progopts.c
@@ -1,9 +1,6 @@
 /* progopts - command line of a program.  See progopts.h. */
 #include "progopts.h"
 
-#include <getopt.h>
-#include <stdio.h>
-
 #include "lg.h"
 #include "mimosascale.h"
 
@@ -14,6 +11,27 @@
     return err_exit_code(e->kind);
 }
 
+int
+prog_options(const ProgOptions *p, int argc, char **argv, void *ctx, Err *e)
+{
+    int opt;
+
+    while ((opt = getopt_long(argc, argv, "", p->longs, NULL)) != -1) {
+        if (opt == 'h') {
+            p->help(stdout);
+            return 0;
+        }
+        if (opt == 'v') {
+            printf("%s %s\n", p->program, MIMOSA_VERSION);
+            return 0;
+        }
+        if (!p->set(ctx, opt, optarg, e)) {
+            return err_exit_code(e->kind);
+        }
+    }
+    return -1;
+}
+
 int
 prog_start(const char *program, const char *what, int argc, char **argv,
            Settings *set)
