Rank upstreams once per object and keep the lists

Change: ranks keeps the 12 best upstreams of an object in a region and follows joins and departures; the plan places objects from these lists, only in scopes that are asked for, and no services with over 2,048 objects. The users of a cold upstream are ranked once per list of VMs. Entries of the store no longer walk all upstreams, nor sort all VMs. Work that is not sticky goes to a sample of its service.

--- a/src/hash.c
+++ b/src/hash.c
@@ -26,12 +26,20 @@
 }
 
 double
-hash_rendezvous(uint64_t key, uint64_t node, double weight)
+hash_point(uint64_t key, uint64_t node)
 {
-    if (weight <= 0) {
-        return 0;
-    }
     /* (h + 0.5) / 2^53 keeps the unit away from 0 and 1. */
-    double u = ((double)(hash_mix(key, node) >> 11) + 0.5) * 0x1.0p-53;
-    return -weight / log(u);
+    return ((double)(hash_mix(key, node) >> 11) + 0.5) * 0x1.0p-53;
+}
+
+double
+hash_score(double point, double weight)
+{
+    return weight <= 0 ? 0 : -weight / log(point);
+}
+
+double
+hash_rendezvous(uint64_t key, uint64_t node, double weight)
+{
+    return hash_score(hash_point(key, node), weight);
 }
--- a/src/hash.h
+++ b/src/hash.h
@@ -22,4 +22,9 @@
  */
 double hash_rendezvous(uint64_t key, uint64_t node, double weight);
 
+/* Its two steps: the hash of a key and a node in (0, 1), and the score that
+ * it gives; the score rises with both arguments. */
+double hash_point(uint64_t key, uint64_t node);
+double hash_score(double point, double weight);
+
 #endif
--- a/src/pick.c
+++ b/src/pick.c
@@ -9,6 +9,7 @@
  * in when it is poor.  With a third of them silent, one in 80 objects has
  * none. */
 #define CANDIDATES 4
+#define SAMPLES 12 /* of the list, for work that is not sticky */
 
 /* Load over the slots up to which a rank is let in; the upstream queues what
  * is over 1.  Less urgent work leaves room for more urgent work. */
@@ -33,11 +34,6 @@
 #define CONNS_PART 0.8 /* of an upstream's connections, for all VMs */
 #define CONNS_MIN 4
 
-typedef struct Candidate {
-    Ups *u;
-    double score; /* of the rendezvous hash */
-} Candidate;
-
 static bool
 was_tried(const PickIn *in, const Ups *u)
 {
@@ -49,16 +45,12 @@
     return false;
 }
 
-/* True when this VM is one of the few that may use a cold upstream. */
 static bool
-shares_cold(const PickIn *in, const Ups *u)
+ranks_for_cold(const PickIn *in, const Ups *u)
 {
     double own = 0;
     int ahead = 0;
 
-    if (in->n_vms <= in->cold_vms) {
-        return true;
-    }
     for (int pass = 0; pass < 2; pass++) {
         for (int i = 0; i < in->n_vms; i++) {
             double w = in->vms[i].region == u->region ? COLD_NEAR : COLD_FAR;
@@ -74,6 +66,21 @@
     return ahead < in->cold_vms;
 }
 
+/* True when this VM is one of the few that may use a cold upstream.  Ranking
+ * the VMs is remembered until their list changes. */
+static bool
+shares_cold(const PickIn *in, Ups *u)
+{
+    if (in->n_vms <= in->cold_vms) {
+        return true;
+    }
+    if (in->vm_list == 0 || u->cold_list != in->vm_list) {
+        u->cold_user = ranks_for_cold(in, u);
+        u->cold_list = in->vm_list;
+    }
+    return u->cold_user;
+}
+
 static double
 cold_rate(const PickIn *in)
 {
@@ -104,44 +111,92 @@
     return true;
 }
 
-/* Keeps the best by rendezvous score; c has CANDIDATES places. */
+static bool
+in_region(const Ups *u, int region)
+{
+    return region == RANKS_ANY_REGION || u->region == region;
+}
+
+/* The first usable ones by rank. */
 static int
-insert(Candidate *c, int n, Candidate x)
+by_rank(const PickIn *in, const Ranks *r, Ups **c, int64_t now_us)
 {
-    int i = n < CANDIDATES ? n : CANDIDATES - 1;
+    int n = 0;
 
-    if (n == CANDIDATES && x.score <= c[i].score) {
-        return n;
+    for (int i = 0; i < r->n && n < CANDIDATES; i++) {
+        if (may_use(in, r->at[i].u, now_us)) {
+            c[n++] = r->at[i].u;
+        }
     }
-    while (i > 0 && c[i - 1].score < x.score) {
-        c[i] = c[i - 1];
-        i--;
+    return n;
+}
+
+/* Usable ones of the whole list, from a place that the object gives. */
+static int
+by_walk(const PickIn *in, int region, Ups **c, int64_t now_us)
+{
+    const GPtrArray *list = ups_of_service(in->set, in->service->id);
+    int n = 0;
+
+    for (guint i = 0; list != NULL && i < list->len && n < CANDIDATES; i++) {
+        Ups *u =
+            g_ptr_array_index(list, (in->object % list->len + i) % list->len);
+        if (in_region(u, region) && may_use(in, u, now_us)) {
+            c[n++] = u;
+        }
     }
-    c[i] = x;
-    return MIN(n + 1, CANDIDATES);
+    return n;
 }
 
-/* region -1: any. */
+/* Any usable ones, for work that no upstream does faster than another. */
 static int
-candidates(const PickIn *in, int region, Candidate *c, int64_t now_us)
+by_chance(const PickIn *in, int region, Ups **c, int64_t now_us)
 {
     const GPtrArray *list = ups_of_service(in->set, in->service->id);
     int n = 0;
 
-    for (guint i = 0; list != NULL && i < list->len; i++) {
-        Ups *u = g_ptr_array_index(list, i);
-        if ((region < 0 || u->region == region) && may_use(in, u, now_us)) {
-            double s = hash_rendezvous(in->object, u->key, u->slots);
-            n = insert(c, n, (Candidate){u, s});
+    for (uint64_t i = 0; list != NULL && i < SAMPLES && n < CANDIDATES; i++) {
+        Ups *u = g_ptr_array_index(list, hash_mix(in->object, i) % list->len);
+        bool twice = false;
+        for (int k = 0; k < n; k++) {
+            twice = twice || c[k] == u;
         }
+        if (!twice && in_region(u, region) && may_use(in, u, now_us)) {
+            c[n++] = u;
+        }
+    }
+    return n;
+}
+
+static int
+candidates(const PickIn *in, int region, Ups **c, int64_t now_us)
+{
+    int n;
+
+    if (!in->route->sticky) {
+        n = by_chance(in, region, c, now_us);
+        return n > 0 ? n : by_walk(in, region, c, now_us);
+    }
+    const Ranks *known = in->plan == NULL
+                             ? NULL
+                             : plan_ranks(in->plan, in->set, in->service->id,
+                                          region, in->object);
+    if (known != NULL) {
+        n = by_rank(in, known, c, now_us);
+        return n > 0 || known->all ? n : by_walk(in, region, c, now_us);
     }
+    Ranks once = {0};
+    RanksScope scope = {in->set, in->service->id, region, in->object};
+    ranks_update(&once, &scope);
+    n = by_rank(in, &once, c, now_us);
+    n = n > 0 || once.all ? n : by_walk(in, region, c, now_us);
+    ranks_clear(&once);
     return n;
 }
 
 /* The plan's upstream takes the place of the first candidate. */
 static int
-put_owner_first(const PickIn *in, int region, Candidate *c, int n,
-                int64_t now_us)
+put_owner_first(const PickIn *in, int region, Ups **c, int n, int64_t now_us)
 {
     Ups *u = in->plan == NULL
                  ? NULL
@@ -153,7 +208,7 @@
     }
     /* Moves the better ones down over the place that it had, or the last. */
     int at = 0;
-    while (at < n && c[at].u != u) {
+    while (at < n && c[at] != u) {
         at++;
     }
     if (at == n) {
@@ -161,7 +216,7 @@
         at = n - 1;
     }
     memmove(&c[1], &c[0], (size_t)at * sizeof(c[0]));
-    c[0] = (Candidate){u, 0};
+    c[0] = u;
     return n;
 }
 
@@ -183,22 +238,22 @@
 /* The first candidate that is not poor, or the first where all are.  A full
  * one does not make its requests spill. */
 static Ups *
-choose(const PickIn *in, const Candidate *c, int n, int64_t now_us, int *at)
+choose(const PickIn *in, Ups *const *c, int n, int64_t now_us, int *at)
 {
     *at = 0;
-    while (*at < n - 1 && pick_is_poor(c[*at].u, now_us)) {
+    while (*at < n - 1 && pick_is_poor(c[*at], now_us)) {
         (*at)++;
     }
-    if (pick_is_poor(c[*at].u, now_us)) {
+    if (pick_is_poor(c[*at], now_us)) {
         *at = 0;
     }
-    return has_room(c[*at].u, in->route->rank, now_us) ? c[*at].u : NULL;
+    return has_room(c[*at], in->route->rank, now_us) ? c[*at] : NULL;
 }
 
 Ups *
 pick_upstream(const PickIn *in, int64_t now_us, PickWhy *why)
 {
-    Candidate c[CANDIDATES];
+    Ups *c[CANDIDATES];
     int region = in->region;
     int at = 0;
     bool away = false;
--- a/src/pick.h
+++ b/src/pick.h
@@ -41,7 +41,7 @@
 typedef struct PickIn {
     const UpsSet *set;
     const Places *places;
-    const Plan *plan;   /* NULL: rendezvous hashing alone */
+    Plan *plan;         /* NULL: rendezvous hashing alone */
     const Split *split; /* NULL: own region while it can */
     const RtRoute *route;
     const RtService *service;
@@ -50,6 +50,7 @@
     const PickVm *vms;
     int n_vms;
     int self;         /* index in vms */
+    uint32_t vm_list; /* changes with vms and self; 0: not told */
     int cold_vms;     /* how many VMs may use one cold upstream */
     int64_t reach_us; /* longest round trip between regions */
     const Ups *tried[PICK_TRIED_MAX];
--- a/src/plan.c
+++ b/src/plan.c
@@ -7,7 +7,7 @@
 
 #include "hash.h"
 
-#define RANKS 6            /* upstreams that an object may go to */
+#define CHOICES 6          /* upstreams that an object may go to */
 #define LOAD_BOUND 1.25    /* of an upstream, over the mean */
 #define FORGET_US 60000000 /* objects that nobody asks for */
 #define KNOWN_PER_NEWS 4   /* bytes of heartbeats are priced */
@@ -17,19 +17,21 @@
     uint64_t object;
     double weight; /* power of two, so that small changes move nothing */
     int64_t seen_us;
+    Ranks **ranks; /* by scope; each NULL until it is asked for */
 } Object;
 
 /* One service in one scope. */
 typedef struct Scope {
     Ups **owners; /* by index of the object; referenced, or NULL */
     guint n_owners;
+    bool stale; /* to be planned again before it is used */
 } Scope;
 
 typedef struct Service {
     uint64_t id;
-    GArray *objects;  /* Object, in the order of their hashes */
-    Scope *scopes;    /* n_regions + 1; the last one: all regions */
-    uint64_t targets; /* hash of the upstreams that were planned with */
+    GArray *objects; /* Object, in the order of their hashes */
+    Scope *scopes;   /* n_regions + 1; the last one: all regions */
+    int n_scopes;
     bool dirty;
 } Service;
 
@@ -37,7 +39,9 @@
     int n_regions;
     GHashTable *services;
     int64_t step_us;
-    GArray *fresh; /* PlanObject not told yet */
+    const UpsSet *set;
+    uint64_t version; /* of the set at the last step */
+    GArray *fresh;    /* PlanObject not told yet */
     uint32_t list_at;
 };
 
@@ -50,7 +54,20 @@
         }
     }
     g_free(s->owners);
-    *s = (Scope){NULL, 0};
+    s->owners = NULL;
+    s->n_owners = 0;
+}
+
+static void
+object_clear(const Service *s, Object *o)
+{
+    for (int k = 0; k < s->n_scopes; k++) {
+        if (o->ranks[k] != NULL) {
+            ranks_clear(o->ranks[k]);
+            g_free(o->ranks[k]);
+        }
+    }
+    g_free(o->ranks);
 }
 
 static void
@@ -58,6 +75,12 @@
 {
     Service *s = p;
 
+    for (int k = 0; k < s->n_scopes; k++) {
+        scope_clear(&s->scopes[k]);
+    }
+    for (guint i = 0; i < s->objects->len; i++) {
+        object_clear(s, &g_array_index(s->objects, Object, i));
+    }
     /* The table's key is the structure's own id. */
     g_array_free(s->objects, TRUE);
     g_free(s->scopes);
@@ -79,15 +102,6 @@
 void
 plan_free(Plan *p)
 {
-    GHashTableIter it;
-    gpointer v;
-
-    g_hash_table_iter_init(&it, p->services);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        for (int i = 0; i <= p->n_regions; i++) {
-            scope_clear(&((Service *)v)->scopes[i]);
-        }
-    }
     g_hash_table_destroy(p->services);
     g_array_free(p->fresh, TRUE);
     g_free(p);
@@ -102,7 +116,11 @@
         s = g_new0(Service, 1);
         s->id = id;
         s->objects = g_array_new(FALSE, TRUE, sizeof(Object));
-        s->scopes = g_new0(Scope, p->n_regions + 1);
+        s->n_scopes = p->n_regions + 1;
+        s->scopes = g_new0(Scope, s->n_scopes);
+        for (int k = 0; k < s->n_scopes; k++) {
+            s->scopes[k].stale = true;
+        }
         g_hash_table_insert(p->services, &s->id, s);
     }
     return s;
@@ -141,11 +159,11 @@
 }
 
 static void
-insert(Plan *p, Service *s, guint i, const Object *o)
+insert(Service *s, guint i, const Object *o)
 {
     g_array_insert_val(s->objects, i, *o);
     /* Owners keep their objects until the next step. */
-    for (int k = 0; k <= p->n_regions; k++) {
+    for (int k = 0; k < s->n_scopes; k++) {
         Scope *sc = &s->scopes[k];
         if (sc->n_owners == 0) {
             continue;
@@ -179,163 +197,116 @@
     if (s->objects->len >= PLAN_OBJECTS_MAX) {
         return false;
     }
-    Object o = {object, w, now_us};
-    insert(p, s, i, &o);
+    Object o = {object, w, now_us, g_new0(Ranks *, s->n_scopes)};
+    insert(s, i, &o);
     s->dirty = true;
-    PlanObject x = {service, object, w};
-    g_array_append_val(p->fresh, x);
+    if (s->objects->len <= PLAN_PLACED_MAX) {
+        PlanObject x = {service, object, w};
+        g_array_append_val(p->fresh, x);
+    }
     return true;
 }
 
-typedef struct Target {
-    Ups *u;
-    double load;
-} Target;
-
-static int
-by_key(const void *a, const void *b)
+static Ranks *
+ranks_of(const Service *s, const UpsSet *set, Object *o, int k)
 {
-    uint64_t x = ((const Target *)a)->u->key;
-    uint64_t y = ((const Target *)b)->u->key;
+    int region = k == s->n_scopes - 1 ? RANKS_ANY_REGION : k;
+    RanksScope scope = {set, s->id, region, o->object};
 
-    return x < y ? -1 : x > y;
-}
-
-/* Usable upstreams of a scope, in a fixed order. */
-static GArray *
-targets_of(const UpsSet *set, uint64_t service, int scope)
-{
-    const GPtrArray *list = ups_of_service(set, service);
-    GArray *out = g_array_new(FALSE, TRUE, sizeof(Target));
-
-    for (guint i = 0; list != NULL && i < list->len; i++) {
-        Ups *u = g_ptr_array_index(list, i);
-        if (ups_usable(set, u) &&
-            (scope == PLAN_ALL_REGIONS || u->region == scope)) {
-            Target t = {u, 0};
-            g_array_append_val(out, t);
-        }
+    if (o->ranks[k] == NULL) {
+        o->ranks[k] = g_new0(Ranks, 1);
     }
-    g_array_sort(out, by_key);
-    return out;
+    ranks_update(o->ranks[k], &scope);
+    return o->ranks[k];
 }
 
-/* The object's best targets, by rendezvous score. */
-static int
-rank(const GArray *targets, uint64_t object, guint *out)
+/* The best usable upstream that is not full, else the least full one in parts
+ * of its slots.  bound: load that a slot may get. */
+static Ups *
+place(const UpsSet *set, const Ranks *r, double weight, double bound)
 {
-    double scores[RANKS];
-    int n = 0;
+    Ups *best = NULL;
+    int seen = 0;
 
-    for (guint t = 0; t < targets->len; t++) {
-        const Ups *u = g_array_index(targets, Target, t).u;
-        double x = hash_rendezvous(object, u->key, u->slots);
-        int i = n < RANKS ? n++ : RANKS - 1;
-        if (i == RANKS - 1 && n == RANKS && t >= RANKS && x <= scores[i]) {
+    for (int i = 0; i < r->n && seen < CHOICES; i++) {
+        Ups *u = r->at[i].u;
+        if (!ups_usable(set, u)) {
             continue;
         }
-        while (i > 0 && scores[i - 1] < x) {
-            scores[i] = scores[i - 1];
-            out[i] = out[i - 1];
-            i--;
+        seen++;
+        if (u->placed + weight <= bound * u->slots) {
+            return u;
+        }
+        if (best == NULL ||
+            u->placed / u->slots < best->placed / best->slots) {
+            best = u;
         }
-        scores[i] = x;
-        out[i] = t;
     }
-    return n;
+    return best;
 }
 
-/* The best target that is not full, else the least full one in parts of its
- * slots.  bound: load that a slot may get. */
-static Target *
-place(const GArray *targets, const Object *o, double bound)
+/* Slots of a scope, and no load yet on any of its upstreams. */
+static double
+empty_upstreams(const UpsSet *set, const Service *s, int k)
 {
-    guint ranks[RANKS] = {0};
-    int n = rank(targets, o->object, ranks);
-    Target *best = &g_array_index(targets, Target, ranks[0]);
-
-    for (int k = 0; k < n; k++) {
-        Target *t = &g_array_index(targets, Target, ranks[k]);
-        if (t->load + o->weight <= bound * t->u->slots) {
-            return t;
-        }
-        if (t->load / t->u->slots < best->load / best->u->slots) {
-            best = t;
+    const GPtrArray *list = ups_of_service(set, s->id);
+    double slots = 0;
+
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        Ups *u = g_ptr_array_index(list, i);
+        u->placed = 0;
+        if (ups_usable(set, u) && (k == s->n_scopes - 1 || u->region == k)) {
+            slots += u->slots;
         }
     }
-    return best;
+    return slots;
 }
 
 static void
-plan_scope(Service *s, Scope *sc, const GArray *targets)
+plan_scope(Service *s, const UpsSet *set, int k)
 {
+    Scope *sc = &s->scopes[k];
+    double slots = empty_upstreams(set, s, k);
     double weight = 0;
-    double slots = 0;
 
     scope_clear(sc);
+    sc->stale = false;
+    if (s->objects->len > PLAN_PLACED_MAX || slots <= 0) {
+        return;
+    }
     sc->n_owners = s->objects->len;
     sc->owners = g_new0(Ups *, MAX(sc->n_owners, 1));
     for (guint i = 0; i < s->objects->len; i++) {
         weight += g_array_index(s->objects, Object, i).weight;
     }
-    for (guint t = 0; t < targets->len; t++) {
-        slots += g_array_index(targets, Target, t).u->slots;
-    }
-    for (guint i = 0; i < s->objects->len && targets->len > 0; i++) {
-        const Object *o = &g_array_index(s->objects, Object, i);
-        Target *t = place(targets, o, LOAD_BOUND * weight / slots);
-        t->load += o->weight;
-        sc->owners[i] = ups_ref(t->u);
-    }
-}
-
-static uint64_t
-hash_targets(const GArray *targets)
-{
-    uint64_t h = 0;
-
-    for (guint t = 0; t < targets->len; t++) {
-        h = hash_mix(h, g_array_index(targets, Target, t).u->key);
+    for (guint i = 0; i < s->objects->len; i++) {
+        Object *o = &g_array_index(s->objects, Object, i);
+        Ups *u = place(set, ranks_of(s, set, o, k), o->weight,
+                       LOAD_BOUND * weight / slots);
+        if (u != NULL) {
+            u->placed += o->weight;
+            sc->owners[i] = ups_ref(u);
+        }
     }
-    return h;
 }
 
 static void
-forget(Plan *p, Service *s, int64_t now_us)
+forget(Service *s, int64_t now_us)
 {
     for (guint i = s->objects->len; i-- > 0;) {
-        if (now_us - g_array_index(s->objects, Object, i).seen_us <
-            FORGET_US) {
+        Object *o = &g_array_index(s->objects, Object, i);
+        if (now_us - o->seen_us < FORGET_US) {
             continue;
         }
+        object_clear(s, o);
         g_array_remove_index(s->objects, i);
         s->dirty = true;
-        for (int k = 0; k <= p->n_regions; k++) {
+        for (int k = 0; k < s->n_scopes; k++) {
             scope_clear(&s->scopes[k]);
         }
     }
 }
 
-static void
-step_service(Plan *p, Service *s, const UpsSet *set, int64_t now_us)
-{
-    GArray *all = targets_of(set, s->id, PLAN_ALL_REGIONS);
-    uint64_t h = hash_targets(all);
-
-    forget(p, s, now_us);
-    if (s->dirty || h != s->targets) {
-        s->dirty = false;
-        s->targets = h;
-        plan_scope(s, &s->scopes[p->n_regions], all);
-        for (int r = 0; r < p->n_regions; r++) {
-            GArray *own = targets_of(set, s->id, r);
-            plan_scope(s, &s->scopes[r], own);
-            g_array_free(own, TRUE);
-        }
-    }
-    g_array_free(all, TRUE);
-}
-
 void
 plan_step(Plan *p, const UpsSet *set, int64_t now_us)
 {
@@ -345,28 +316,69 @@
     if (p->step_us != 0 && now_us - p->step_us < PLAN_STEP_US) {
         return;
     }
+    bool changed = p->set != set || p->version != ups_version(set);
     p->step_us = now_us;
+    p->set = set;
+    p->version = ups_version(set);
     g_hash_table_iter_init(&it, p->services);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        step_service(p, v, set, now_us);
+        Service *s = v;
+        forget(s, now_us);
+        for (int k = 0; k < s->n_scopes; k++) {
+            s->scopes[k].stale |= changed || s->dirty;
+        }
+        s->dirty = false;
     }
 }
 
-Ups *
-plan_owner(const Plan *p, uint64_t service, int scope, uint64_t object)
+/* The service, if it knows the object at *i. */
+static Service *
+find_object(const Plan *p, uint64_t service, uint64_t object, guint *i)
 {
-    const Service *s = g_hash_table_lookup(p->services, &service);
+    Service *s = g_hash_table_lookup(p->services, &service);
 
     if (s == NULL) {
         return NULL;
     }
-    guint i = place_of(s->objects, object);
-    const Scope *sc =
-        &s->scopes[scope == PLAN_ALL_REGIONS ? p->n_regions : scope];
-    if (!is_at(s->objects, i, object) || i >= sc->n_owners) {
+    *i = place_of(s->objects, object);
+    return is_at(s->objects, *i, object) ? s : NULL;
+}
+
+Ups *
+plan_owner(Plan *p, uint64_t service, int scope, uint64_t object)
+{
+    guint i;
+    Service *s = find_object(p, service, object, &i);
+    int k = scope == PLAN_ALL_REGIONS ? p->n_regions : scope;
+
+    if (s == NULL || p->set == NULL) {
+        return NULL;
+    }
+    if (s->scopes[k].stale) {
+        plan_scope(s, p->set, k);
+    }
+    return i < s->scopes[k].n_owners ? s->scopes[k].owners[i] : NULL;
+}
+
+const Ranks *
+plan_ranks(Plan *p, const UpsSet *set, uint64_t service, int scope,
+           uint64_t object)
+{
+    guint i;
+    Service *s = find_object(p, service, object, &i);
+
+    if (s == NULL) {
         return NULL;
     }
-    return sc->owners[i];
+    return ranks_of(s, set, &g_array_index(s->objects, Object, i),
+                    scope == PLAN_ALL_REGIONS ? p->n_regions : scope);
+}
+
+/* How many objects other VMs have to know. */
+static guint
+told_objects(const Service *s)
+{
+    return s->objects->len > PLAN_PLACED_MAX ? 0 : s->objects->len;
 }
 
 /* Known objects in turn; wraps around. */
@@ -381,7 +393,7 @@
 
     g_hash_table_iter_init(&it, p->services);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        total += ((Service *)v)->objects->len;
+        total += told_objects(v);
     }
     if (total == 0) {
         return 0;
@@ -390,7 +402,7 @@
     g_hash_table_iter_init(&it, p->services);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const Service *s = v;
-        for (guint i = 0; i < s->objects->len; i++, index++) {
+        for (guint i = 0; i < told_objects(s); i++, index++) {
             const Object *o = &g_array_index(s->objects, Object, i);
             if ((index + total - from) % total < (uint32_t)max) {
                 out[n++] = (PlanObject){s->id, o->object, o->weight};
--- a/src/plan.h
+++ b/src/plan.h
@@ -10,7 +10,7 @@
  * only, so that VMs which know the same plan the same.  Pure.
  *
  * A scope is a set of upstreams that share the objects of a service: those of
- * one region, or all of them.
+ * one region, or all of them.  Only scopes that are asked for are planned.
  */
 #ifndef MIMOSA_PLAN_H
 #define MIMOSA_PLAN_H
@@ -18,11 +18,16 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "ranks.h"
 #include "ups.h"
 
-#define PLAN_ALL_REGIONS (-1)
-/* Objects of one service; with more of them hashing alone spreads evenly. */
-#define PLAN_OBJECTS_MAX 2048
+#define PLAN_ALL_REGIONS RANKS_ANY_REGION
+/* Objects of one service that are known, with their ranked upstreams. */
+#define PLAN_OBJECTS_MAX 8192
+/* Objects of one service up to which they are placed.  With more of them
+ * hashing alone spreads evenly enough, and VMs would not learn all of them
+ * from each other before the plan has moved on. */
+#define PLAN_PLACED_MAX 2048
 
 typedef struct Plan Plan;
 
@@ -34,12 +39,17 @@
 bool plan_learn(Plan *p, uint64_t service, uint64_t object, double weight,
                 int64_t now_us);
 
-/* Plans again what has changed, at most once per PLAN_STEP_US. */
+/* Sees what has changed, at most once per PLAN_STEP_US; the plan is made
+ * again when it is asked for.  set is borrowed until the next call. */
 #define PLAN_STEP_US 250000
 void plan_step(Plan *p, const UpsSet *set, int64_t now_us);
 
-/* The object's upstream, or NULL when it is not known. */
-Ups *plan_owner(const Plan *p, uint64_t service, int scope, uint64_t object);
+/* The object's upstream, or NULL when it is not known or not placed. */
+Ups *plan_owner(Plan *p, uint64_t service, int scope, uint64_t object);
+
+/* The object's upstreams by rank, or NULL when it is not known. */
+const Ranks *plan_ranks(Plan *p, const UpsSet *set, uint64_t service,
+                        int scope, uint64_t object);
 
 typedef struct PlanObject {
     uint64_t service;
--- a/src/px.c
+++ b/src/px.c
@@ -226,6 +226,7 @@
     p->vms = vms;
     p->n_vms = n;
     p->self = self;
+    p->vm_list++;
 }
 
 void
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -60,6 +60,7 @@
     const PickVm *vms;
     int n_vms;
     int self;
+    uint32_t vm_list; /* counts their changes */
     int64_t reach_us;
     GateStop stop;
     GQueue held;
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -33,6 +33,7 @@
         .vms = p->vms,
         .n_vms = p->n_vms,
         .self = p->self,
+        .vm_list = p->vm_list,
         .cold_vms = COLD_VMS,
         .reach_us = p->reach_us,
         .n_tried = r->n_tried,
--- /dev/null
+++ b/src/ranks.c
@@ -0,0 +1,130 @@
+/* ranks - the upstreams that an object prefers.  See ranks.h. */
+#include "ranks.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "hash.h"
+
+#define REFILL_BELOW (RANKS_KEPT / 2)
+
+void
+ranks_clear(Ranks *r)
+{
+    for (int i = 0; i < r->n; i++) {
+        ups_unref(r->at[i].u);
+    }
+    *r = (Ranks){0};
+}
+
+/* Takes out what has left the scope or changed its weight. */
+static void
+prune(Ranks *r)
+{
+    int n = 0;
+
+    for (int i = 0; i < r->n; i++) {
+        RanksEntry e = r->at[i];
+        if (e.u->state == UPS_GONE || e.u->join != e.join) {
+            ups_unref(e.u);
+        }
+        else {
+            r->at[n++] = e;
+        }
+    }
+    if (n < r->n) {
+        r->n = n;
+        r->bar = 0;
+    }
+}
+
+/* Unit hash that an upstream of so many slots has to exceed. */
+static double
+bar_of(Ranks *r, int slots)
+{
+    if (r->n < RANKS_KEPT) {
+        return 0;
+    }
+    if (r->bar <= 0 || r->bar_slots != slots) {
+        r->bar = exp(-slots / r->at[RANKS_KEPT - 1].score);
+        r->bar_slots = slots;
+    }
+    return r->bar;
+}
+
+static void
+offer(Ranks *r, const RanksScope *s, Ups *u)
+{
+    if (u->state == UPS_GONE || u->service != s->service || u->slots <= 0 ||
+        (s->region != RANKS_ANY_REGION && u->region != s->region)) {
+        return;
+    }
+    double unit = hash_point(s->object, u->key);
+    if (unit < bar_of(r, u->slots)) {
+        r->all = false;
+        return;
+    }
+    double score = hash_score(unit, u->slots);
+    int i = r->n;
+    if (r->n == RANKS_KEPT) {
+        r->all = false;
+        if (score <= r->at[--i].score) {
+            return;
+        }
+        ups_unref(r->at[i].u);
+    }
+    else if (!r->all && (i == 0 || score <= r->at[i - 1].score)) {
+        /* Upstreams that were left out may rank before it. */
+        return;
+    }
+    else {
+        r->n++;
+    }
+    while (i > 0 && r->at[i - 1].score < score) {
+        r->at[i] = r->at[i - 1];
+        i--;
+    }
+    r->at[i] = (RanksEntry){ups_ref(u), score, u->join};
+    r->bar = 0;
+}
+
+static void
+fill(Ranks *r, const RanksScope *s, const UpsList *l)
+{
+    ranks_clear(r);
+    r->all = true;
+    for (guint i = 0; i < l->members->len; i++) {
+        offer(r, s, g_ptr_array_index(l->members, i));
+    }
+}
+
+void
+ranks_update(Ranks *r, const RanksScope *s)
+{
+    const UpsList *l = ups_list(s->set, s->service);
+    uint64_t version = ups_version(s->set);
+
+    if (l == NULL) {
+        ranks_clear(r);
+        return;
+    }
+    if (r->version == version && r->joined > 0) {
+        return;
+    }
+    prune(r);
+    uint64_t kept_from = l->n_joined - l->joined->len;
+    if (r->joined < kept_from || r->joined == 0 ||
+        (!r->all && r->n < REFILL_BELOW)) {
+        fill(r, s, l);
+    }
+    else {
+        for (uint64_t j = r->joined; j < l->n_joined; j++) {
+            Ups *u = g_ptr_array_index(l->joined, (guint)(j - kept_from));
+            if (u->join == j + 1) {
+                offer(r, s, u);
+            }
+        }
+    }
+    r->joined = l->n_joined;
+    r->version = version;
+}
--- a/src/ups.c
+++ b/src/ups.c
@@ -25,27 +25,35 @@
 #define COLD_AGAIN_US 1000000
 #define SLOWNESS_RATIO_MAX 8.0 /* one answer may not dominate */
 
+#define JOINS_KEPT 512 /* of each list; older ones are ranked anew */
+
 struct UpsSet {
     const Places *places;
+    uint64_t version;
+    int n_missing; /* entries that wait to be marked as gone */
     int64_t gone_grace_us;
     int64_t calm_us; /* from then on a missing entry is gone at once */
     GHashTable *by_id;
     GHashTable *by_key;     /* the same, by the hash of the id */
-    GHashTable *by_service; /* service hash -> GPtrArray of Ups */
+    GHashTable *by_service; /* service hash -> UpsList */
     bool drained[ZONES_MAX];
     int64_t returned_us[ZONES_MAX]; /* when its drain ended */
 };
 
 static void
-free_list(gpointer p)
+unref_entry(gpointer p)
 {
-    g_ptr_array_free(p, TRUE);
+    ups_unref(p);
 }
 
 static void
-unref_entry(gpointer p)
+free_list(gpointer p)
 {
-    ups_unref(p);
+    UpsList *l = p;
+
+    g_ptr_array_free(l->members, TRUE);
+    g_ptr_array_free(l->joined, TRUE);
+    g_free(l);
 }
 
 UpsSet *
@@ -101,23 +109,30 @@
 static void
 list_add(UpsSet *s, Ups *u)
 {
-    GPtrArray *list = g_hash_table_lookup(s->by_service, &u->service);
+    UpsList *l = g_hash_table_lookup(s->by_service, &u->service);
 
-    if (list == NULL) {
-        list = g_ptr_array_new();
+    if (l == NULL) {
+        l = g_new0(UpsList, 1);
+        l->members = g_ptr_array_new();
+        l->joined = g_ptr_array_new_with_free_func(unref_entry);
         g_hash_table_insert(s->by_service,
-                            g_memdup2(&u->service, sizeof(u->service)), list);
+                            g_memdup2(&u->service, sizeof(u->service)), l);
     }
-    g_ptr_array_add(list, u);
+    g_ptr_array_add(l->members, u);
+    if (l->joined->len >= 2 * JOINS_KEPT) {
+        g_ptr_array_remove_range(l->joined, 0, JOINS_KEPT);
+    }
+    g_ptr_array_add(l->joined, ups_ref(u));
+    u->join = ++l->n_joined;
 }
 
 static void
 list_remove(UpsSet *s, Ups *u)
 {
-    GPtrArray *list = g_hash_table_lookup(s->by_service, &u->service);
+    UpsList *l = g_hash_table_lookup(s->by_service, &u->service);
 
-    if (list != NULL) {
-        g_ptr_array_remove_fast(list, u);
+    if (l != NULL) {
+        g_ptr_array_remove_fast(l->members, u);
     }
 }
 
@@ -129,12 +144,10 @@
     u->refs = 1;
     u->id = g_strndup(r->id.p, r->id.n);
     u->key = hash_str(r->id, 0);
-    u->service = hash_str(r->service, 0);
     u->slowness = 1;
     g_queue_init(&u->idle);
     g_hash_table_insert(s->by_id, u->id, u);
     g_hash_table_insert(s->by_key, &u->key, u);
-    list_add(s, u);
     return u;
 }
 
@@ -150,6 +163,30 @@
     u->down_us = 0;
 }
 
+/* Puts it into the list that the report names, if it is not there as it now
+ * is. */
+static void
+place_in_list(UpsSet *s, Ups *u, const UpsReport *r, int zone)
+{
+    uint64_t service = hash_str(r->service, 0);
+    int region = s->places->region_of[zone];
+    bool same = u->join != 0 && u->service == service && u->region == region &&
+                u->slots == r->slots;
+
+    u->zone = zone;
+    if (same) {
+        return;
+    }
+    if (u->join != 0) {
+        list_remove(s, u);
+    }
+    u->service = service;
+    u->region = region;
+    u->slots = r->slots;
+    list_add(s, u);
+    s->version++;
+}
+
 UpsChange
 ups_report(UpsSet *s, const UpsReport *r, int64_t now_us)
 {
@@ -180,19 +217,13 @@
               now_us + r->warmup_left_us > u->cold_until_us + COLD_AGAIN_US)) {
         ch = UPS_CHANGED;
     }
-    uint64_t service = hash_str(r->service, 0);
-    if (u->service != service) {
-        list_remove(s, u);
-        u->service = service;
-        list_add(s, u);
-    }
+    s->n_missing -= u->missing_us != 0 ? 1 : 0;
+    s->version += ch != UPS_SAME ? 1 : 0;
     u->boot_ms = r->boot_ms;
-    u->zone = zone;
-    u->region = s->places->region_of[zone];
     u->addr = r->addr;
-    u->slots = r->slots;
     u->state = r->draining ? UPS_DRAINING : UPS_READY;
     u->missing_us = 0;
+    place_in_list(s, u, r, zone);
     u->report_us = now_us;
     u->cold_until_us = now_us + r->warmup_left_us;
     return ch;
@@ -205,6 +236,7 @@
 
     if (u != NULL && u->state != UPS_GONE && u->missing_us == 0) {
         u->missing_us = now_us;
+        s->n_missing++;
     }
 }
 
@@ -221,7 +253,7 @@
     gpointer p;
     int n = 0;
 
-    if (now_us < s->calm_us) {
+    if (now_us < s->calm_us || s->n_missing == 0) {
         return 0;
     }
     g_hash_table_iter_init(&it, s->by_id);
@@ -236,6 +268,8 @@
         g_hash_table_remove(s->by_key, &u->key);
         g_hash_table_iter_remove(&it);
     }
+    s->n_missing = 0;
+    s->version++;
     return n;
 }
 
@@ -258,6 +292,7 @@
         s->returned_us[zone] = now_us;
     }
     s->drained[zone] = drained;
+    s->version++;
 }
 
 bool
@@ -266,10 +301,24 @@
     return s->drained[zone];
 }
 
+const UpsList *
+ups_list(const UpsSet *s, uint64_t service)
+{
+    return g_hash_table_lookup(s->by_service, &service);
+}
+
 const GPtrArray *
 ups_of_service(const UpsSet *s, uint64_t service)
 {
-    return g_hash_table_lookup(s->by_service, &service);
+    const UpsList *l = ups_list(s, service);
+
+    return l == NULL ? NULL : l->members;
+}
+
+uint64_t
+ups_version(const UpsSet *s)
+{
+    return s->version;
 }
 
 bool
--- a/src/ups.h
+++ b/src/ups.h
@@ -44,6 +44,7 @@
     char *id;
     uint64_t key;     /* hash of the id */
     uint64_t service; /* hash of the service's name */
+    uint64_t join;    /* its place among all that joined the list, from 1 */
     uint64_t boot_ms;
     int zone;
     int region;
@@ -68,6 +69,10 @@
     int64_t bad_at_us;
     UpsSeen seen; /* by this VM since ups_take_seen() */
 
+    double placed;      /* load that a plan under way has given it */
+    bool cold_user;     /* this VM may use it while it is cold ... */
+    uint32_t cold_list; /* ... by that list of VMs; 0: not known */
+
     bool used; /* this VM has sent it a request since its start */
     GQueue idle;
     int n_conns;
@@ -115,9 +120,21 @@
 /* NULL: no such upstream, or it is gone. */
 Ups *ups_find(const UpsSet *s, Str id);
 
-/* All entries of a service, gone ones included; NULL: none. */
+/* Upstreams of a service.  One joins again when its slots or its region
+ * change, so that what is derived from the list can follow the joins. */
+typedef struct UpsList {
+    GPtrArray *members; /* Ups, gone ones excluded */
+    GPtrArray *joined;  /* the last that joined, in order; referenced */
+    uint64_t n_joined;  /* joins so far */
+} UpsList;
+
+/* NULL: none. */
+const UpsList *ups_list(const UpsSet *s, uint64_t service);
 const GPtrArray *ups_of_service(const UpsSet *s, uint64_t service);
 
+/* Changes with each change of a list or of what may be used. */
+uint64_t ups_version(const UpsSet *s);
+
 /* True when new work may go there. */
 bool ups_usable(const UpsSet *s, const Ups *u);
 
--- a/src/vml.c
+++ b/src/vml.c
@@ -118,12 +118,6 @@
     return NULL;
 }
 
-static gint
-by_id(gconstpointer a, gconstpointer b)
-{
-    return strcmp(((const Vm *)a)->id, ((const Vm *)b)->id);
-}
-
 void
 vml_put(Vml *l, const Vm *v)
 {
@@ -139,8 +133,11 @@
         }
         return;
     }
-    g_array_append_val(l->vms, *v);
-    g_array_sort(l->vms, by_id);
+    guint at = l->vms->len;
+    while (at > 0 && strcmp(v->id, vml_at(l, (int)at - 1)->id) < 0) {
+        at--;
+    }
+    g_array_insert_val(l->vms, at, *v);
 }
 
 void
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -47,7 +47,8 @@
                              .max_conns = 1000,
                              .warmup_us = 3 * S,
                              .cold_per_s = 10};
-    w->route = (RtRoute){.target_us = 400 * MS, .timeout_us = S};
+    w->route =
+        (RtRoute){.sticky = true, .target_us = 400 * MS, .timeout_us = S};
     for (int i = 0; i < 2 * per_zone; i++) {
         char id[16];
         snprintf(id, sizeof(id), "u%d", i);
--- a/tests/test_play.c
+++ b/tests/test_play.c
@@ -118,7 +118,7 @@
 }
 
 static Ups *
-decided(Play *p, const Job *j, const Plan *plan, int64_t now_us)
+decided(Play *p, const Job *j, Plan *plan, int64_t now_us)
 {
     PickWhy why;
     PickIn in = {.set = p->set,
@@ -283,8 +283,9 @@
     p->service =
         (RtService){.id = hash_str(str_of("desk"), 0), .max_conns = 100000};
     for (int k = 0; k < KINDS; k++) {
-        p->routes[k] =
-            (RtRoute){.rank = kinds[k].rank, .target_us = kinds[k].target_us};
+        p->routes[k] = (RtRoute){.sticky = true,
+                                 .rank = kinds[k].rank,
+                                 .target_us = kinds[k].target_us};
     }
     for (int i = 0; i < UPSTREAMS; i++) {
         char id[16];
