--- a/src/kv.h
+++ b/src/kv.h
@@ -40,7 +40,8 @@
 
 /* Each writer returns a whole HTTP request. */
 typedef struct KvCodec {
-    GString *(*list)(const char *prefix, const char *after);
+    /* stale: the answer may be seconds old and costs a part of the price. */
+    GString *(*list)(const char *prefix, const char *after, bool stale);
     GString *(*watch)(const char *prefix, uint64_t after, int wait_ms);
     GString *(*lease_new)(int64_t ttl_us);
     GString *(*lease_keep)(uint64_t id);
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -7,6 +7,10 @@
 #define BACKOFF_MIN_US 150000
 #define BACKOFF_MAX_US 1200000 /* current again within 3 s of a return */
 #define RELIST_US 250000
+/* A watch that confirms a list does not wait, and is repeated while it brings
+ * as much as a page may hold. */
+#define CONFIRM_WAIT_MS 1
+#define CONFIRM_EVENTS 50
 #define GAP_US 100000 /* until the watch after a gap in the news, at most */
 #define LEASE_TTL_US 4000000
 #define LEASE_KEEP_US 1600000 /* one renewal may fail */
@@ -17,6 +21,8 @@
     KvConn *conn;
     EvlTimer timer;
     bool listing;
+    bool stale;         /* this list may be seconds old ... */
+    bool confirming;    /* ... and a watch brings what it lacks */
     bool listed;        /* complete at least once */
     char *after;        /* last key of the page before */
     uint64_t rev;       /* to watch from */
@@ -179,15 +185,31 @@
     }
 }
 
+/* The view is as new as the store's own answers. */
 static void
-list_complete(Feed *f, int64_t now_us)
+view_current(Feed *f, int64_t now_us)
 {
     f->listed = true;
+    f->confirming = false;
+    feed_works(f);
+    tell_ready(f->m, now_us);
+}
+
+static void
+list_complete(Feed *f, int64_t now_us)
+{
+    if (f->stale) {
+        /* What has left or was withdrawn since must not be used first. */
+        g_clear_pointer(&f->after, g_free);
+        f->listing = false;
+        f->confirming = true;
+        feed_watch(f);
+        return;
+    }
     f->doubt = drop_missing(f, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
     f->listing = false;
-    feed_works(f);
-    tell_ready(f->m, now_us);
+    view_current(f, now_us);
     if (f->doubt) {
         feed_later(f, RELIST_US);
     }
@@ -214,8 +236,9 @@
         feed_failed(f, "list", status, now_us);
         return;
     }
-    if (f->after == NULL) {
-        /* Changes during the listing come again by the watch. */
+    if (f->after == NULL || p.rev < f->rev) {
+        /* Changes during the listing come again by the watch; a later page
+         * may come from an older copy of the store. */
         f->rev = p.rev;
     }
     for (guint i = 0; i < p.items->len; i++) {
@@ -238,12 +261,14 @@
 {
     if (!f->listing) {
         f->listing = true;
+        /* Only a VM that knows nothing yet cannot be set back by old news. */
+        f->stale = f->round == 0;
         f->round++;
         g_clear_pointer(&f->after, g_free);
     }
     f->m->calls++;
-    kv_call(f->conn, f->m->o.codec->list(f->prefix, f->after), CALL_TIMEOUT_US,
-            on_list, f);
+    kv_call(f->conn, f->m->o.codec->list(f->prefix, f->after, f->stale),
+            CALL_TIMEOUT_US, on_list, f);
 }
 
 static void
@@ -267,7 +292,7 @@
 
     apply_events(f, p, told, now_us);
     int64_t calm_us = f->trouble_us == 0 ? INT64_MAX : now_us - f->trouble_us;
-    if (!f->hinted &&
+    if (!f->hinted && !f->confirming &&
         news_worth_telling(m->o.notice_us, evl_boottime() - f->began_us,
                            calm_us)) {
         NewsOut o = {.feed = (int)(f - m->feeds),
@@ -310,6 +335,21 @@
     }
 }
 
+/* Drops what an old list has told and nothing has confirmed. */
+static void
+forget_unconfirmed(Feed *f, int64_t now_us)
+{
+    GHashTableIter it;
+    gpointer k;
+
+    g_hash_table_iter_init(&it, f->keys);
+    while (g_hash_table_iter_next(&it, &k, NULL)) {
+        f->m->o.fns.item(f->m->o.ctx, k, NULL, f->rev, now_us);
+        g_hash_table_iter_remove(&it);
+    }
+    f->confirming = false;
+}
+
 static void
 on_watch(void *ctx, int status, Str body, int64_t now_us)
 {
@@ -321,6 +361,9 @@
         dlog_event(f->m->o.log, DLOG_INFO, "store",
                    "event=history_gone prefix=%s rev=%" G_GUINT64_FORMAT,
                    f->prefix, f->rev);
+        if (f->confirming) {
+            forget_unconfirmed(f, now_us);
+        }
         feed_list(f);
         return;
     }
@@ -333,12 +376,20 @@
                    "event=unreadable_events error=\"%s\"", e.text);
         kv_page_clear(&p);
         f->doubt = true;
+        if (f->confirming) {
+            forget_unconfirmed(f, now_us);
+        }
         feed_failed(f, "watch", status, now_us);
         return;
     }
     take_events(f, &p, now_us);
+    guint n = p.items->len;
     kv_page_clear(&p);
-    feed_works(f);
+    if (f->confirming && n >= CONFIRM_EVENTS) {
+        feed_watch(f);
+        return;
+    }
+    view_current(f, now_us);
     feed_pause(f, f->hinted, now_us);
     f->hinted = false;
 }
@@ -347,11 +398,11 @@
 feed_watch(Feed *f)
 {
     NewsTimes t = news_times(f->m->o.notice_us);
+    int wait_ms = f->confirming ? CONFIRM_WAIT_MS : (int)(t.wait_us / 1000);
 
     f->m->calls++;
     f->began_us = evl_boottime();
-    kv_call(f->conn,
-            f->m->o.codec->watch(f->prefix, f->rev, (int)(t.wait_us / 1000)),
+    kv_call(f->conn, f->m->o.codec->watch(f->prefix, f->rev, wait_ms),
             t.timeout_us, on_watch, f);
 }
 
@@ -362,7 +413,10 @@
     (void)now_us;
 
     f->pausing = false;
-    if (f->listing || !f->listed || f->doubt) {
+    if (f->confirming) {
+        feed_watch(f);
+    }
+    else if (f->listing || !f->listed || f->doubt) {
         feed_list(f);
     }
     else {
