Give up an upstream that sends bytes without end

Cause: an answer that is not the request's own was read to its end and kept whole; an upstream in trouble that sends such bytes until the caller closes could take the memory of a VM (94 MB in 1.5 s on loopback; 160 MB is all that a small VM has). An answer of the store had no bound either.

Change: of an answer that is not passed on 64 KB are read, and 16 answers to other requests; then the attempt counts as garbled and its connection is reset. An answer of the store may have 8 MB.

Measured: tests/platform_endless.sh plays endless heads, interim answers, bodies, answers to others, bytes behind an answer and an own answer without end against the real program: peak memory under 30 MB, neighbours served; the former program fails it with 94 MB.

--- a/src/kv.c
+++ b/src/kv.c
@@ -6,6 +6,8 @@
 
 #define UNACKED_MS 1000
 #define HEAD_MAX 16384
+/* A page holds about 1 MB; a value of 1 MB is a third longer as text. */
+#define ANSWER_BYTES_MAX (8 * 1024 * 1024)
 
 struct KvConn {
     Evl *loop;
@@ -83,7 +85,8 @@
         if (st == H1_DONE) {
             finish(c, (int)c->answer.parser.status_code);
         }
-        else if (st == H1_ERROR || st == H1_BIG) {
+        else if (st == H1_ERROR || st == H1_BIG ||
+                 c->answer.body->len > ANSWER_BYTES_MAX) {
             finish(c, KV_NO_ANSWER);
         }
         return;
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -33,6 +33,7 @@
     Uconn *conn;
     Ups *tried[PICK_TRIED_MAX];
     int n_tried;
+    int n_stray;  /* whole answers to other requests that came */
     int arrivals; /* attempts that an upstream may have seen */
     bool ran;     /* one of them may have run */
     PickWhy why;
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -8,6 +8,10 @@
 /* Answers up to this size are read whole before the caller gets a byte, so
  * that a broken one can be replaced. */
 #define WHOLE_BYTES (256 * 1024)
+/* Bytes that are read of an answer which is not passed on; refusals and late
+ * answers to other requests are short. */
+#define STRAY_BYTES (64 * 1024)
+#define STRAY_ANSWERS 16 /* to other requests, before the right one */
 /* A caller that does not read holds up the upstream at this many bytes. */
 #define BACKLOG_BYTES (256 * 1024)
 /* An answer may take this long on its way back to the caller's side. */
@@ -148,6 +152,15 @@
     pxreq_end(r);
 }
 
+/* The upstream sends what is no answer to this request, perhaps without end.
+ */
+static void
+give_up_stray(Req *r, int64_t now_us)
+{
+    ups_saw_end(r->u, false, now_us);
+    attempt_ended(r, UP_GARBLED, now_us);
+}
+
 static void
 on_done(Req *r, int64_t now_us)
 {
@@ -183,7 +196,12 @@
         break;
     }
     case PX_ANSWER_OTHER:
-        uconn_skip(r->conn);
+        if (++r->n_stray > STRAY_ANSWERS) {
+            give_up_stray(r, now_us);
+        }
+        else {
+            uconn_skip(r->conn);
+        }
         break;
     case PX_ANSWER_BAD:
         ups_saw_end(r->u, false, now_us);
@@ -194,13 +212,18 @@
 
 /* Hands on what has come of a large answer. */
 static void
-on_body(Req *r)
+on_body(Req *r, int64_t now_us)
 {
     H1 *a = uconn_answer(r->conn);
 
     if (r->state != REQ_STREAMING) {
-        if (a->body->len < WHOLE_BYTES ||
-            pxhead_kind(a, r->p->o.names, r->attempt) != PX_ANSWER_OWN) {
+        if (pxhead_kind(a, r->p->o.names, r->attempt) != PX_ANSWER_OWN) {
+            if (a->body->len > STRAY_BYTES) {
+                give_up_stray(r, now_us);
+            }
+            return;
+        }
+        if (a->body->len < WHOLE_BYTES) {
             return;
         }
         GString *head = pxhead_answer(a);
@@ -221,7 +244,7 @@
 
     switch (ev) {
     case UCONN_BODY:
-        on_body(r);
+        on_body(r, now_us);
         break;
     case UCONN_DONE:
         on_done(r, now_us);
--- a/standins/platform_targets.h
+++ b/standins/platform_targets.h
@@ -5,6 +5,7 @@
 #ifndef MIMOSA_PLATFORM_TARGETS_H
 #define MIMOSA_PLATFORM_TARGETS_H
 
+#include "platform_endless.h"
 #include "platform_store.h"
 
 static void
@@ -106,8 +107,12 @@
 {
     Target *t = ctx;
     Late *l = user;
-    (void)now_us;
 
+    (void)now_us;
+    if (l->timer.fn == on_endless) {
+        endless_left(user);
+        return;
+    }
     evl_disarm(t->p->loop, &l->timer);
     g_free(l->id);
     g_free(l);
@@ -166,6 +171,12 @@
     else if (strcmp(what, "slow") == 0) {
         answer_late(t, c, id, now_us);
     }
+    else if (g_str_has_prefix(what, "endless")) {
+        char *head = sealed_head(id);
+        ran(p, id);
+        endless_begin(t, c, what + strlen("endless"), head, now_us);
+        g_free(head);
+    }
     else if (strcmp(what, "large") == 0) {
         answer_large(p, c, id);
     }
--- /dev/null
+++ b/tests/platform_endless.sh
@@ -0,0 +1,57 @@
+#!/bin/sh
+# Targets in trouble that send bytes without end: callers get a definite end,
+# neighbours are served meanwhile, and the memory of the VM stays bounded.
+# usage: platform_endless.sh BUILD_DIR
+set -u
+b=$1
+PORT=${PORT:-28400}
+. tools/platform_lib.sh
+
+# Peak memory that endless bytes may take of a VM; without limits they took
+# hundreds of MB in the 1.5 s of a request.
+max_kb=30000
+
+peak_kb() {
+    sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$vm1/status"
+}
+
+start_platform
+config 3
+settings 1 west-a
+start_vm 1
+wait_for "http://127.0.0.1:$((port + 102))/api/readyz" 200
+sleep 1
+
+# Guards against a VM that keeps such bytes, waits for their end, or takes them
+# for an answer.  The request may have run: no 503.
+for what in head interim stray other; do
+    ask 1 "e$what" "/write/x/endless$what" >"$dir/status" &
+    asked=$!
+    for i in 1 2 3 4 5; do
+        check "neighbour_$what" "$(ask 1 "n$what$i" /write/x/ok)" 200
+    done
+    wait $asked
+    case $(cat "$dir/status") in
+    502 | 504) ;;
+    *) check "$what" "$(cat "$dir/status")" "502 or 504" ;;
+    esac
+    check "runs_$what" "$(runs "e$what")" 1
+done
+
+# A whole answer is passed on without what follows it, and its connection is
+# not used again.
+check after "$(ask 1 eafter /write/x/endlessafter)" 200
+for i in 1 2 3 4; do
+    check "next_$i" "$(ask 1 "next$i" /write/x/ok) $(cat "$dir/body")" \
+        "200 done next$i"
+done
+
+# An answer of its own without end is cut at the route's time.
+begin=$(date +%s%N)
+check own "$(ask 1 eown /write/x/endlessown)" "200 rc=18"
+took_ms=$((($(date +%s%N) - begin) / 1000000))
+[ "$took_ms" -lt 2500 ] || check own_took "$took_ms ms" "under 2500 ms"
+
+peak=$(peak_kb)
+[ "$peak" -lt $max_kb ] || check memory "$peak KB" "under $max_kb KB"
+finish
--- /dev/null
+++ b/tools/platform_lib.sh
@@ -0,0 +1,121 @@
+# Entry VMs on the stand-in of the platform, as processes; read by the tests
+# that use them, which set b, the build folder.
+
+dir=$(mktemp -d)
+pids=
+port=${PORT:-27400}
+store=127.0.0.1:$port
+fails=0
+vm1=
+vm2=
+vm3=
+
+stop_all() {
+    # shellcheck disable=SC2086
+    [ -z "$pids" ] || kill $pids 2>/dev/null
+    wait 2>/dev/null
+    rm -rf "$dir"
+}
+trap stop_all EXIT
+
+# vm N ZONE: settings of an entry VM with its ports.
+settings() {
+    p=$((port + 100 * $1))
+    cat >"$dir/vm$1.ini" <<END
+[vm]
+id = vm-$1
+zone = $2
+memory_mb = 160
+descriptors = 4096
+[zones]
+west-a = west
+east-a = east
+[listen]
+requests = 127.0.0.1:$((p + 1))
+ready = 127.0.0.1:$((p + 2))
+directory = 127.0.0.1:$((p + 3))
+peers = 127.0.0.1:$((p + 4))
+metrics = 127.0.0.1:$((p + 5))
+[store]
+address = $store
+[bounds]
+drain = 2500ms
+configuration = 2500ms
+stop = 6s
+directory_ttl = 2s
+max_shift = 0.15
+retry_ratio = 0.2
+retry_slack = 60
+retry_window = 10s
+END
+}
+
+start_vm() {
+    "$b/mimosa-edge" --config "$dir/vm$1.ini" >>"$dir/vm$1.log" 2>&1 &
+    eval "vm$1=$!"
+    pids="$pids $!"
+}
+
+start_platform() {
+    "$b/standin-platform" --store "$store" \
+        --target "u-1,127.0.0.1:$((port + 51)),desk,west-a" \
+        --target "u-2,127.0.0.1:$((port + 52)),desk,east-a" \
+        >"$dir/platform.log" 2>&1 &
+    pids="$pids $!"
+    wait_for "http://$store/test/runs?0" 200
+}
+
+# control METHOD-LESS call of the stand-in's store: control PATH [BODY]
+control() {
+    curl -s -o /dev/null -X PUT --data-binary "${2:-}" "http://$store$1"
+}
+
+# config VERSION [EXTRA_ROUTE]
+config() {
+    r='"Timeout":"1500ms","Slo":"400ms","Priority":1,"MaxAttempts":2,"Sticky":true,"HomeRegions":[],"Service":"desk"'
+    control '/test/key?op/config' "{\"Version\":$1,\"Services\":[{\"Name\":\"desk\",\"HealthPath\":\"/healthz\",\"MaxConns\":360,\"Cold\":\"3s\",\"ColdPerS\":15.0}],\"Limits\":{\"MaxHeaderBytes\":4096,\"MaxBodyBytes\":100000,\"HeaderTimeout\":\"1000ms\",\"IdleTimeout\":\"15000ms\"},\"Vhosts\":[{\"Host\":\"desk.example\",\"Paths\":[{\"Name\":\"read\",\"PathPrefix\":\"/read/\",\"Kind\":\"idempotent\",$r},{\"Name\":\"write\",\"PathPrefix\":\"/write/\",\"Kind\":\"non_idempotent\",$r}${2:-}]}]}"
+}
+
+# wait_for URL STATUS: for up to 8 s.
+wait_for() {
+    for _ in $(seq 80); do
+        [ "$(curl -s -o /dev/null -w '%{http_code}' "$1")" = "$2" ] && return
+        sleep 0.1
+    done
+    echo "no $2 from $1"
+    fails=$((fails + 1))
+}
+
+# ask VM ID PATH [curl options]: prints the status, 000 when cut.
+ask() {
+    v=$1
+    i=$2
+    u=$3
+    shift 3
+    curl -s -o "$dir/body" -D "$dir/head" -w '%{http_code}' \
+        -H "Host: desk.example" -H "X-Mimosascale-Attempt-Id: $i" \
+        -H "X-Mimosascale-Affinity-Key: $i" \
+        -H "X-Mimosascale-Deadline-Ms: 3000" "$@" \
+        "http://127.0.0.1:$((port + 100 * v + 1))$u" ||
+        printf ' rc=%s' $?
+}
+
+runs() {
+    curl -s "http://$store/test/runs?$1"
+}
+
+# check WHAT GOT WANTED
+check() {
+    if [ "$2" != "$3" ]; then
+        echo "FAILED $1: got \"$2\", wanted \"$3\""
+        fails=$((fails + 1))
+    fi
+}
+
+# finish: prints logs when something failed.
+finish() {
+    [ "$fails" = 0 ] && exit 0
+    tail -n 20 "$dir"/*.log
+    exit 1
+}
+
