Check the view after a pause before requests use it

Cause: a process that was stopped or whose machine was suspended for seconds took the requests that waited in its sockets before any news: with a zone withdrawn meanwhile, 4 of 8 of them ran there (tests/platform_pause.sh without the guard). And a VM that the store turns away asked it again every second although the VMs near by told it all changes.

Change: the loop tells when it stood still for over a second, before it hands out events; the VM then asks the store at once, and requests wait for the answer, 0.4 s at most, so that a VM without its store goes on serving. News that follow what is known put off the calls of a VM that is turned away.

Measured: platform_pause.sh passes with the guard; test_mirror fails without the second part.

--- a/src/edge.c
+++ b/src/edge.c
@@ -23,6 +23,9 @@
 #define TICK_US 250000 /* heartbeats, shares, expiry, log */
 #define BEAT_US 500000
 #define LOOK_US 1000000 /* at the settings file */
+/* Requests wait that long for a fresh view after this VM stood still; a round
+ * trip between regions and a connection take about 250 ms. */
+#define VIEW_WAIT_US 400000
 #define GONE_GRACE_US                                                         \
     2000000                   /* entries come back within that after a stop   \
                                  of the store */
@@ -74,7 +77,6 @@
     int64_t leave_us;
     int64_t look_us;
     int64_t beat_us;
-    int64_t suspended_us; /* boot time less steady time */
 };
 
 static void
@@ -162,17 +164,26 @@
     mirror_hear(((Edge *)ctx)->mirror, w, now_us);
 }
 
-/* A suspended machine wakes with an old view. */
 static void
-look_for_suspension(Edge *g, int64_t now_us)
+on_current(void *ctx, int64_t now_us)
 {
-    int64_t gap = evl_boottime() - now_us;
+    (void)now_us;
+    px_wait_for_view(((Edge *)ctx)->px, 0);
+}
+
+/* What was withdrawn while this VM stood still must not be used for the
+ * requests that waited in its sockets. */
+static void
+on_still(void *ctx, int64_t gap_us, int64_t now_us)
+{
+    Edge *g = ctx;
 
-    if (g->suspended_us != 0 && gap - g->suspended_us > TICK_US) {
-        dlog_event(g->log, DLOG_WARN, "vm", "event=resumed after_ms=%" PRId64,
-                   (gap - g->suspended_us) / 1000);
+    dlog_event(g->log, DLOG_WARN, "vm", "event=resumed after_ms=%" PRId64,
+               gap_us / 1000);
+    if (g->view_complete) {
+        px_wait_for_view(g->px, now_us + VIEW_WAIT_US);
+        mirror_check(g->mirror);
     }
-    g->suspended_us = gap;
 }
 
 static void
@@ -248,7 +259,6 @@
         g->beat_us = now_us;
         beats_send(g->beats, g->leaving, now_us);
     }
-    look_for_suspension(g, now_us);
     if (now_us - g->look_us >= LOOK_US) {
         g->look_us = now_us;
         look_at_settings(g);
@@ -479,7 +489,7 @@
         .urgent = pf_urgent,
         .rnd = g->rnd,
         .notice_us = MIN(g->set.drain_us, g->set.config_us),
-        .fns = {on_item, on_view, on_trouble, on_tell},
+        .fns = {on_item, on_view, on_current, on_trouble, on_tell},
         .ctx = g,
     };
 
@@ -512,6 +522,7 @@
                "id=%s event=started zone=%s boot=%" PRIu64, g->set.vm_id,
                g->set.places.zones[g->set.zone], g->boot_ms);
     dlog_flush(g->log);
+    evl_on_still(loop, on_still, g);
     g->tick = (EvlTimer){.fn = on_tick, .ctx = g};
     evl_arm(loop, &g->tick, evl_now(loop) + TICK_US);
     return g;
@@ -521,6 +532,7 @@
 edge_free(Edge *g)
 {
     evl_disarm(g->loop, &g->tick);
+    evl_on_still(g->loop, NULL, NULL);
     if (g->mirror != NULL) {
         mirror_free(g->mirror);
     }
--- a/src/evl.c
+++ b/src/evl.c
@@ -16,6 +16,9 @@
 } Later;
 
 struct Evl {
+    EvlStillFn still;
+    void *still_ctx;
+    int64_t turn_us; /* boot time after the last wait */
     int epoll_fd;
     bool stopped;
     int64_t now_us;
@@ -162,6 +165,29 @@
     l->now_us = clock_us(CLOCK_MONOTONIC);
 }
 
+/* The clock that counts while a machine is suspended also counts while the
+ * process is stopped.  The time that a turn's own work takes is part of the
+ * gap; it is far below the bound. */
+static void
+notice_still(Evl *l, int wait_ms)
+{
+    int64_t at_us = evl_boottime();
+    int64_t gap_us = at_us - l->turn_us - (int64_t)MAX(wait_ms, 0) * 1000;
+    bool first = l->turn_us == 0;
+
+    l->turn_us = at_us;
+    if (!first && wait_ms >= 0 && gap_us > EVL_STILL_US && l->still != NULL) {
+        l->still(l->still_ctx, gap_us, l->now_us);
+    }
+}
+
+void
+evl_on_still(Evl *l, EvlStillFn fn, void *ctx)
+{
+    l->still = fn;
+    l->still_ctx = ctx;
+}
+
 void
 evl_turn(Evl *l, int wait_ms)
 {
@@ -169,6 +195,7 @@
     int n = epoll_wait(l->epoll_fd, evs, EVENTS_PER_TURN, wait_ms);
 
     evl_refresh(l);
+    notice_still(l, wait_ms);
     for (int i = 0; i < n; i++) {
         deliver(l, &evs[i]);
     }
--- a/src/evl.h
+++ b/src/evl.h
@@ -37,6 +37,14 @@
 } EvlTimer;
 
 Evl *evl_new(void);
+
+/* Called before events are delivered when the loop stood still for over
+ * EVL_STILL_US: the process was stopped, or the machine was suspended.  What
+ * it knows may be old, and what is due by the clock may have run out. */
+#define EVL_STILL_US 1000000
+typedef void (*EvlStillFn)(void *ctx, int64_t gap_us, int64_t now_us);
+void evl_on_still(Evl *l, EvlStillFn fn, void *ctx);
+
 void evl_free(Evl *l);
 /* Runs until evl_stop(); may be called again after it. */
 void evl_run(Evl *l);
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -50,6 +50,7 @@
     bool listing;
     bool stale;         /* this list may be seconds old ... */
     bool confirming;    /* ... and a watch brings what it lacks */
+    bool checking;      /* a watch does not wait, see mirror_check() */
     bool listed;        /* complete at least once */
     char *after;        /* last key of the page before */
     uint64_t rev;       /* to watch from */
@@ -205,14 +206,27 @@
     }
 }
 
+static void
+tell_current(Mirror *m, int64_t now_us)
+{
+    for (int i = 0; i < m->n_feeds; i++) {
+        if (!m->feeds[i].listed || m->feeds[i].checking) {
+            return;
+        }
+    }
+    m->o.fns.current(m->o.ctx, now_us);
+}
+
 /* The view is as new as the store's own answers. */
 static void
 view_current(Feed *f, int64_t now_us)
 {
     f->listed = true;
     f->confirming = false;
+    f->checking = false;
     feed_works(f);
     tell_ready(f->m, now_us);
+    tell_current(f->m, now_us);
 }
 
 static void
@@ -341,7 +355,8 @@
         break;
     case NEWS_NEXT:
         apply_events(f, &w->page, NULL, now_us);
-        if (f->pausing && !f->hinted) {
+        /* A VM that the store turns away knows all by the others' news. */
+        if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->hinted) {
             m->put_off++;
             feed_pause(f, true, now_us);
         }
@@ -606,7 +621,8 @@
 feed_watch(Feed *f)
 {
     NewsTimes t = news_times(f->m->o.notice_us);
-    int wait_ms = f->confirming ? CONFIRM_WAIT_MS : (int)(t.wait_us / 1000);
+    bool at_once = f->confirming || f->checking;
+    int wait_ms = at_once ? CONFIRM_WAIT_MS : (int)(t.wait_us / 1000);
 
     f->m->calls++;
     f->began_us = evl_boottime();
@@ -635,6 +651,23 @@
     }
 }
 
+void
+mirror_check(Mirror *m)
+{
+    for (int i = 0; i < m->n_feeds; i++) {
+        Feed *f = &m->feeds[i];
+        if (!f->listed || f->listing || f->doubt || f->gap.urgent) {
+            continue;
+        }
+        /* An answer that waits in the socket is as old as the view. */
+        kv_cancel(f->conn);
+        evl_disarm(m->o.loop, &f->timer);
+        f->pausing = false;
+        f->checking = true;
+        feed_watch(f);
+    }
+}
+
 void
 mirror_record(Mirror *m, const char *key, const char *value)
 {
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -27,6 +27,8 @@
                  int64_t now_us);
     /* The view is complete for the first time. */
     void (*ready)(void *ctx, int64_t now_us);
+    /* The view is as new as the store's own answers. */
+    void (*current)(void *ctx, int64_t now_us);
     /* A call failed; the view may be old. */
     void (*trouble)(void *ctx, int64_t now_us);
     /* Changes to tell the VMs near by; good during the call only. */
@@ -55,6 +57,10 @@
 /* Sets the VM's own record; written again when it changes or is lost. */
 void mirror_record(Mirror *m, const char *key, const char *value);
 
+/* Asks the store at once, for a VM that stood still; "current" is called when
+ * all of the view is confirmed. */
+void mirror_check(Mirror *m);
+
 /* Takes changes that another VM read. */
 void mirror_hear(Mirror *m, const News *w, int64_t now_us);
 
--- a/src/px.c
+++ b/src/px.c
@@ -17,25 +17,12 @@
     "answered", "refused",  "failed",   "timed_out", "cut",
     "left",     "unrouted", "bad_head", "retries",   "crashes"};
 
-/* Places a request, keeps it for a moment, or refuses it. */
+/* Keeps a request until the next look for room, urgent ones first. */
 static void
-dispatch(Req *r, int64_t now_us)
+hold(Req *r, int64_t now_us)
 {
     Px *p = r->p;
-    Ups *u = pxtry_pick(r, now_us);
 
-    if (u != NULL) {
-        pxtry_start(r, u, now_us);
-        return;
-    }
-    GateOut g =
-        pxreq_gate(r, r->why != PICK_NONE, now_us - r->begin_us, now_us);
-    if (!g.hold) {
-        pxreq_say(r, PX_REFUSED, 503,
-                  r->why == PICK_NONE ? "no_upstream" : "no_room", g.retry_us,
-                  now_us);
-        return;
-    }
     if (r->held.data == NULL) {
         GList *at = p->held.head;
         while (at != NULL &&
@@ -50,6 +37,30 @@
     }
 }
 
+/* Places a request, keeps it for a moment, or refuses it. */
+static void
+dispatch(Req *r, int64_t now_us)
+{
+    if (now_us < r->p->view_wait_us && now_us < r->end_us) {
+        hold(r, now_us);
+        return;
+    }
+    Ups *u = pxtry_pick(r, now_us);
+    if (u != NULL) {
+        pxtry_start(r, u, now_us);
+        return;
+    }
+    GateOut g =
+        pxreq_gate(r, r->why != PICK_NONE, now_us - r->begin_us, now_us);
+    if (g.hold) {
+        hold(r, now_us);
+        return;
+    }
+    pxreq_say(r, PX_REFUSED, 503,
+              r->why == PICK_NONE ? "no_upstream" : "no_room", g.retry_us,
+              now_us);
+}
+
 static void
 on_hold_timer(void *ctx, int64_t now_us)
 {
@@ -235,6 +246,12 @@
     p->reach_us = reach_us;
 }
 
+void
+px_wait_for_view(Px *p, int64_t until_us)
+{
+    p->view_wait_us = until_us;
+}
+
 void
 px_leave(Px *p, const GateStop *stop)
 {
--- a/src/px.h
+++ b/src/px.h
@@ -49,6 +49,9 @@
 /* Longest round trip between regions; 0: not known. */
 void px_set_reach(Px *p, int64_t reach_us);
 
+/* Requests wait until then, as the view may be old; 0: go on. */
+void px_wait_for_view(Px *p, int64_t until_us);
+
 /* From stop->late_us on, refuses requests that may outlive the VM. */
 void px_leave(Px *p, const GateStop *stop);
 
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -63,6 +63,7 @@
     int self;
     uint32_t vm_list; /* counts their changes */
     int64_t reach_us;
+    int64_t view_wait_us; /* see px_wait_for_view() */
     GateStop stop;
     GQueue held;
     EvlTimer hold_timer;
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -9,6 +9,7 @@
  *   PUT  /test/delete?KEY  removes a key
  *   PUT  /test/mode?MODE   ok, busy (503), refuse (429), silent, forget (410)
  *   GET  /test/runs?ID     how often the attempt with this id ran
+ *   GET  /test/served?ID   requests that the target with this id took
  */
 #include <getopt.h>
 #include <signal.h>
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -60,6 +60,7 @@
     struct sockaddr_in at;
     struct sockaddr_in told; /* the address that it registers */
     int seq;
+    int served; /* requests that were not refused */
     CallerSet *callers;
 } Target;
 
@@ -418,6 +419,15 @@
         answer(c, 200, out);
         return;
     }
+    else if (g_str_has_prefix(path, "/test/served?")) {
+        int n = 0;
+        for (int i = 0; i < p->n_targets; i++) {
+            n += strcmp(p->targets[i].id, q) == 0 ? p->targets[i].served : 0;
+        }
+        snprintf(out, sizeof(out), "%d\n", n);
+        answer(c, 200, out);
+        return;
+    }
     answer(c, 200, "{}");
 }
 
--- a/standins/platform_targets.h
+++ b/standins/platform_targets.h
@@ -197,6 +197,7 @@
         say_not_run(c, z, 421);
     }
     else {
+        t->served++;
         run_fault(t, c, strrchr(path, '/') + 1, z, now_us);
     }
     g_free(z);
--- /dev/null
+++ b/tests/platform_pause.sh
@@ -0,0 +1,43 @@
+#!/bin/sh
+# A VM whose process stood still for seconds: what was withdrawn meanwhile is
+# not used for the requests that waited in its sockets.
+# usage: platform_pause.sh BUILD_DIR
+set -u
+b=$1
+PORT=${PORT:-29400}
+. tools/platform_lib.sh
+
+start_platform
+config 3
+settings 1 west-a
+start_vm 1
+wait_for "http://127.0.0.1:$((port + 102))/api/readyz" 200
+sleep 1
+
+# Objects of both upstreams; u-1 stands in west-a.
+for i in 1 2 3 4 5 6 7 8; do
+    check "before_$i" "$(ask 1 "b$i" /write/x/ok)" 200
+done
+
+served_before=$(curl -s "http://$store/test/served?u-1")
+[ "$served_before" -gt 0 ] || check both_in_use "$served_before" "over 0"
+
+kill -STOP "$vm1"
+for i in 1 2 3 4 5 6 7 8; do
+    ask 1 "p$i" /write/x/ok >"$dir/p$i" &
+    asked="${asked:-} $!"
+done
+sleep 0.3
+control '/test/key?op/evacuate/west-a' '{}'
+sleep 2
+kill -CONT "$vm1"
+# shellcheck disable=SC2086
+wait $asked
+
+# Guards against work that a zone gets after it was to be kept empty, sent by
+# a process that woke with an old view.
+check evacuated "$(curl -s "http://$store/test/served?u-1")" "$served_before"
+for i in 1 2 3 4 5 6 7 8; do
+    check "after_$i" "$(cat "$dir/p$i")" 200
+done
+finish
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -40,6 +40,10 @@
     const Answer *script; /* ends with a NULL call */
     unsigned used;        /* bit of each answer that was given */
     int64_t after_us;     /* to go on after the mirror is ready */
+    Mirror *mirror;
+    EvlTimer hear;          /* runs from the first failed call, if hear_rev */
+    uint64_t hear_rev;      /* that another VM tells of then; 0: none */
+    int n_calls_at_trouble; /* made when the news came */
     char calls[CALLS_MAX][128];
     int n_calls;
     EvlTimer end;
@@ -167,12 +171,35 @@
 }
 
 static void
-on_trouble(void *ctx, int64_t now_us)
+on_current(void *ctx, int64_t now_us)
 {
     (void)ctx;
     (void)now_us;
 }
 
+static void
+on_hear(void *ctx, int64_t now_us)
+{
+    Store *s = ctx;
+    News w = {.from = s->hear_rev, .page = {.rev = s->hear_rev + 1}};
+
+    w.page.items = g_array_new(FALSE, TRUE, sizeof(KvItem));
+    mirror_hear(s->mirror, &w, now_us);
+    kv_page_clear(&w.page);
+    s->n_calls_at_trouble = s->n_calls;
+}
+
+static void
+on_trouble(void *ctx, int64_t now_us)
+{
+    Store *s = ctx;
+
+    if (s->hear_rev != 0 && s->n_calls_at_trouble == 0) {
+        s->hear = (EvlTimer){.fn = on_hear, .ctx = s};
+        evl_arm(s->loop, &s->hear, now_us + 1000);
+    }
+}
+
 static void
 on_tell(void *ctx, const NewsOut *o)
 {
@@ -182,7 +209,8 @@
 
 /* after_us: to go on after the mirror is ready. */
 static void
-run(Store *s, const Answer *script, int64_t after_us)
+run_hearing(Store *s, const Answer *script, int64_t after_us,
+            uint64_t hear_rev)
 {
     struct sockaddr_in at = {.sin_family = AF_INET,
                              .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
@@ -193,6 +221,7 @@
     s->loop = evl_new();
     s->script = script;
     s->after_us = after_us;
+    s->hear_rev = hear_rev;
     s->known = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     s->listener = (EvlFd){
         .fd = socket(AF_INET, SOCK_STREAM, 0), .fn = on_accept, .ctx = s};
@@ -209,15 +238,15 @@
         .urgent = pf_urgent,
         .rnd = g_rand_new_with_seed(1),
         .notice_us = 2000000,
-        .fns = {on_item, on_ready, on_trouble, on_tell},
+        .fns = {on_item, on_ready, on_current, on_trouble, on_tell},
         .ctx = s,
     };
-    Mirror *m = mirror_new(&o);
+    s->mirror = mirror_new(&o);
     s->end = (EvlTimer){.fn = on_end, .ctx = s->loop};
     evl_arm(s->loop, &s->end, evl_now(s->loop) + RUN_US);
     evl_run(s->loop);
     write_known(s, s->at_end, sizeof(s->at_end));
-    mirror_free(m);
+    mirror_free(s->mirror);
     for (int i = 0; i < s->n_conns; i++) {
         strm_close(&s->conns[i].strm);
         h1_clear(&s->conns[i].req);
@@ -234,6 +263,12 @@
     }
 }
 
+static void
+run(Store *s, const Answer *script, int64_t after_us)
+{
+    run_hearing(s, script, after_us, 0);
+}
+
 #define ITEM(key, rev)                                                        \
     "{\"Key\":\"" key "\",\"Value\":\"eA==\",\"Rev\":" rev "}"
 
@@ -341,7 +376,30 @@
 }
 END_TEST
 
+/* Guards against VMs that the store turns away and that go on asking it, each
+ * call priced, while the VMs near by tell them all that changes. */
+START_TEST(news_put_off_the_calls_of_a_vm_that_is_turned_away)
+{
+    Store s;
+    static const Answer script[] = {
+        {"Serializable=1", 200,
+         "{\"items\":[" ITEM("servers/a",
+                             "3") "],\"HasMore\":false,\"CurrentRev\":5}"},
+        {"after=5&WaitMs=1", 200, "{\"events\":[],\"CurrentRev\":9}"},
+        {"after=9&", 503, "{}"},
+        {NULL, 0, NULL},
+    };
+
+    /* The next watch comes 1.24 s after the news at the earliest; without
+     * them it would come after 0.2 s. */
+    run_hearing(&s, script, 1500000, 9);
+    ck_assert_int_gt(s.n_calls_at_trouble, 0);
+    ck_assert_int_eq(s.n_calls, s.n_calls_at_trouble);
+}
+END_TEST
+
 T_MAIN("mirror", an_old_first_list_is_not_used_before_it_is_confirmed,
        the_oldest_page_says_from_where_to_watch,
        a_list_without_history_behind_it_is_read_anew,
-       changes_lost_with_the_history_are_found_again)
+       changes_lost_with_the_history_are_found_again,
+       news_put_off_the_calls_of_a_vm_that_is_turned_away)
