--- /dev/null
+++ b/bench/bench_scale.c
@@ -0,0 +1,272 @@
+/*
+ * bench_scale - processor time of a placement decision and of a change of the
+ * upstreams, as the fleet grows.  The baseline ranks all upstreams for each
+ * decision, and all objects with all upstreams for each change, which is what
+ * 354fdfe did.
+ */
+#include "bench.h"
+
+#include <time.h>
+
+#include "hash.h"
+#include "pick.h"
+#include "plan.h"
+
+#define DECISIONS 20000
+#define CHANGES 40
+#define REGIONS 3
+#define REPEATS 3
+
+typedef struct Size {
+    int vms;
+    int upstreams;
+    int objects;
+} Size;
+
+typedef struct World {
+    Places places;
+    UpsSet *set;
+    Plan *plan;
+    RtService service;
+    RtRoute route;
+    PickVm *vms;
+    Size size;
+    int64_t now_us;
+} World;
+
+static double
+cpu_s(void)
+{
+    struct timespec t;
+
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &t);
+    return (double)t.tv_sec + (double)t.tv_nsec / 1e9;
+}
+
+static void
+report(World *w, int i)
+{
+    static const char *const zones[REGIONS] = {"a", "b", "c"};
+    char id[24];
+
+    snprintf(id, sizeof(id), "u%d", i);
+    UpsReport r = {.id = str_of(id),
+                   .service = str_of("desk"),
+                   .zone = str_of(zones[i % REGIONS]),
+                   .slots = 9};
+    ups_report(w->set, &r, w->now_us);
+}
+
+static uint64_t
+object_of(int i)
+{
+    return hash_mix((uint64_t)i, 1);
+}
+
+static void
+world_init(World *w, const Size *size)
+{
+    memset(w, 0, sizeof(*w));
+    places_add(&w->places, str_of("a"), str_of("east"));
+    places_add(&w->places, str_of("b"), str_of("west"));
+    places_add(&w->places, str_of("c"), str_of("south"));
+    w->size = *size;
+    w->now_us = 100 * SECOND;
+    w->set = ups_new(&w->places, 0);
+    w->plan = plan_new(REGIONS);
+    w->service = (RtService){.id = hash_str(str_of("desk"), 0),
+                             .max_conns = 100000,
+                             .warmup_us = 3 * SECOND,
+                             .cold_per_s = 3};
+    w->route = (RtRoute){
+        .sticky = true, .target_us = 1500 * MS, .timeout_us = 4 * SECOND};
+    w->vms = g_new0(PickVm, size->vms);
+    for (int i = 0; i < size->vms; i++) {
+        w->vms[i] = (PickVm){hash_mix(7, (uint64_t)i), i % REGIONS};
+    }
+    for (int i = 0; i < size->upstreams; i++) {
+        report(w, i);
+    }
+    for (int i = 0; i < size->objects; i++) {
+        plan_learn(w->plan, w->service.id, object_of(i), 1, w->now_us);
+    }
+}
+
+static void
+world_clear(World *w)
+{
+    plan_free(w->plan);
+    ups_free(w->set);
+    g_free(w->vms);
+}
+
+static PickIn
+pick_in(World *w, int object)
+{
+    return (PickIn){.set = w->set,
+                    .places = &w->places,
+                    .plan = w->plan,
+                    .route = &w->route,
+                    .service = &w->service,
+                    .object = object_of(object),
+                    .vms = w->vms,
+                    .n_vms = w->size.vms,
+                    .vm_list = 1,
+                    .cold_vms = 4,
+                    .reach_us = 110 * MS};
+}
+
+static double
+decision_us(World *w)
+{
+    PickWhy why;
+    double begin = cpu_s();
+
+    for (int i = 0; i < DECISIONS; i++) {
+        PickIn in = pick_in(w, i % w->size.objects);
+        if (pick_upstream(&in, w->now_us, &why) == NULL) {
+            fprintf(stderr, "bench_scale: no upstream\n");
+            exit(2);
+        }
+    }
+    return (cpu_s() - begin) / DECISIONS * 1e6;
+}
+
+/* The best of all upstreams, as each decision found it before. */
+static Ups *
+best_of_all(const World *w, uint64_t object, int region)
+{
+    const GPtrArray *list = ups_of_service(w->set, w->service.id);
+    Ups *best = NULL;
+    double most = 0;
+
+    for (guint i = 0; i < list->len; i++) {
+        Ups *u = g_ptr_array_index(list, i);
+        if (region != RANKS_ANY_REGION && u->region != region) {
+            continue;
+        }
+        double s = hash_rendezvous(object, u->key, u->slots);
+        if (s > most) {
+            most = s;
+            best = u;
+        }
+    }
+    return best;
+}
+
+static double
+baseline_decision_us(const World *w)
+{
+    int n = DECISIONS / 20;
+    double begin = cpu_s();
+    uintptr_t sum = 0;
+
+    for (int i = 0; i < n; i++) {
+        sum += (uintptr_t)best_of_all(w, object_of(i), RANKS_ANY_REGION);
+    }
+    double us = (cpu_s() - begin) / n * 1e6;
+    return sum == 0 ? 0 : us;
+}
+
+/* One upstream joins or leaves; all objects are asked for afterwards. */
+static double
+change_us(World *w)
+{
+    char id[24];
+    double begin = cpu_s();
+
+    for (int i = 0; i < CHANGES; i++) {
+        int which = w->size.upstreams + i / 2;
+        w->now_us += PLAN_STEP_US;
+        if (i % 2 == 0) {
+            report(w, which);
+        }
+        else {
+            snprintf(id, sizeof(id), "u%d", which);
+            ups_missing(w->set, str_of(id), w->now_us);
+            ups_expire(w->set, w->now_us);
+        }
+        plan_step(w->plan, w->set, w->now_us);
+        for (int o = 0; o < w->size.objects; o++) {
+            plan_ranks(w->plan, w->set, w->service.id, PLAN_ALL_REGIONS,
+                       object_of(o));
+        }
+        plan_owner(w->plan, w->service.id, PLAN_ALL_REGIONS, object_of(0));
+    }
+    return (cpu_s() - begin) / CHANGES * 1e6;
+}
+
+/* All objects with all upstreams, for all regions and for each one. */
+static double
+baseline_change_us(const World *w)
+{
+    double begin = cpu_s();
+    uintptr_t sum = 0;
+    int n = MIN(w->size.objects, 200);
+
+    for (int o = 0; o < n; o++) {
+        for (int r = RANKS_ANY_REGION; r < REGIONS; r++) {
+            sum += (uintptr_t)best_of_all(w, object_of(o), r);
+        }
+    }
+    double us = (cpu_s() - begin) * 1e6 * w->size.objects / n;
+    return sum == 0 ? 0 : us;
+}
+
+typedef struct Cost {
+    double decision;
+    double change;
+    double old_decision;
+    double old_change;
+} Cost;
+
+static Cost
+measure(const Size *size)
+{
+    Cost best = {1e12, 1e12, 1e12, 1e12};
+
+    for (int i = 0; i < REPEATS; i++) {
+        World w;
+        world_init(&w, size);
+        decision_us(&w); /* fills the lists */
+        best.decision = fmin(best.decision, decision_us(&w));
+        best.change = fmin(best.change, change_us(&w));
+        best.old_decision = fmin(best.old_decision, baseline_decision_us(&w));
+        best.old_change = fmin(best.old_change, baseline_change_us(&w));
+        world_clear(&w);
+    }
+    printf(
+        "scale: vms=%d upstreams=%d objects=%d decision_us=%.2f "
+        "change_us=%.0f baseline_decision_us=%.1f baseline_change_us=%.0f\n",
+        size->vms, size->upstreams, size->objects, best.decision, best.change,
+        best.old_decision, best.old_change);
+    return best;
+}
+
+int
+main(void)
+{
+    static const Size sizes[] = {{30, 150, 1000},    {30, 150, 8000},
+                                 {300, 1350, 1000},  {300, 1350, 8000},
+                                 {1000, 5000, 1000}, {1000, 5000, 8000}};
+    static const Size large = {295, 1173, 909};
+    Cost c[G_N_ELEMENTS(sizes)];
+    Bench b = {0};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+        c[i] = measure(&sizes[i]);
+    }
+    Cost l = measure(&large);
+    bench_row(&b,
+              "decision at 5,000 upstreams over that at 150, 1,000 objects",
+              c[4].decision / c[0].decision, "ranking all", "<= 1.5",
+              c[4].decision <= 1.5 * c[0].decision);
+    bench_row(&b,
+              "decision at 5,000 upstreams over that at 150, 8,000 objects",
+              c[5].decision / c[1].decision, "ranking all", "<= 1.5",
+              c[5].decision <= 1.5 * c[1].decision);
+    bench_row(&b, "former change over present one, 1,173 upstreams",
+              l.old_change / l.change, "354fdfe", ">= 20",
+              l.old_change >= 20 * l.change);
+    return bench_end(&b);
+}
