Apply lost changes after one list; do not wait in calls that fail

Change: while calls fail they do not wait at the store and end after 1 s, with 0.9 s at most between them; the list begins at once and what it lacks is taken for gone, with a second list that brings back what was lacked wrongly. Lint: shell functions of the platform's tests stand in tests/lib.

--- a/bench/bench_scale.c
+++ b/bench/bench_scale.c
@@ -250,7 +250,7 @@
                                  {300, 1350, 1000},  {300, 1350, 8000},
                                  {1000, 5000, 1000}, {1000, 5000, 8000}};
     static const Size large = {295, 1173, 909};
-    Cost c[G_N_ELEMENTS(sizes)];
+    Cost c[G_N_ELEMENTS(sizes)] = {{0}};
     Bench b = {0};
 
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -7,7 +7,7 @@
 
 #define CALL_TIMEOUT_US 1000000
 #define BACKOFF_MIN_US 150000
-#define BACKOFF_MAX_US 1200000 /* current again within 3 s of a return */
+#define BACKOFF_MAX_US 900000 /* current again within 3 s of a return */
 #define RELIST_US 250000
 /* A watch that confirms a list does not wait, and is repeated while it brings
  * as much as a page may hold. */
@@ -83,6 +83,7 @@
 static void gap_open(Feed *f, int64_t now_us);
 static void gap_urgent(Feed *f);
 static void gap_close(Feed *f);
+static void gap_fill(Feed *f);
 static void feed_watch(Feed *f);
 
 static int64_t
@@ -167,15 +168,16 @@
     f->rev = MAX(f->rev, p->rev);
 }
 
-/* Removes the keys that this list and the one before it lack.  upto: revision
- * of the list; what is younger is not expected in it. */
+/* Removes the keys that the last "lists" lists lack, this one included.
+ * upto: revision of the list; what is younger is not expected in it.  Returns
+ * how many it lacks. */
 static int
-drop_missing(Feed *f, uint64_t upto, int64_t now_us)
+drop_missing(Feed *f, uint64_t upto, uint32_t lists, int64_t now_us)
 {
     GHashTableIter it;
     gpointer key;
     gpointer v;
-    int doubtful = 0;
+    int missing = 0;
 
     g_hash_table_iter_init(&it, f->keys);
     while (g_hash_table_iter_next(&it, &key, &v)) {
@@ -184,15 +186,15 @@
         if (k->gone || k->rev > upto || age == 0) {
             continue;
         }
-        if (age == 1) {
-            doubtful++;
+        missing++;
+        if (age < lists) {
             continue;
         }
         f->m->o.fns.item(f->m->o.ctx, key, NULL, upto, now_us);
         record_gone(f->m->record, key);
         g_hash_table_iter_remove(&it);
     }
-    return doubtful;
+    return missing;
 }
 
 static void
@@ -243,7 +245,7 @@
         feed_watch(f);
         return;
     }
-    f->doubt = drop_missing(f, f->rev, now_us) > 0;
+    f->doubt = drop_missing(f, f->rev, 2, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
     f->listing = false;
     gap_close(f);
@@ -437,7 +439,9 @@
 gap_filled(Feed *f, int64_t now_us)
 {
     g_clear_pointer(&f->gap.after, g_free);
-    if (drop_missing(f, f->gap.oldest, now_us) > 0 && !f->gap.again) {
+    /* What has left must not wait for a second list; that one brings back what
+     * the first may have lacked wrongly. */
+    if (drop_missing(f, f->gap.oldest, 1, now_us) > 0 && !f->gap.again) {
         f->gap.again = true;
         gap_later(f, RELIST_US);
         return;
@@ -448,7 +452,6 @@
     gap_close(f);
 }
 
-static void gap_fill(Feed *f);
 
 static void
 on_fill(void *ctx, int status, Str body, int64_t now_us)
@@ -532,7 +535,7 @@
     kv_page_clear(&p);
     feed_works(f);
     feed_pause(f, false, now_us);
-    gap_later(f, fill_step_us(f) / 2);
+    gap_fill(f);
 }
 
 /* Reads the keys that bind at once; the watch goes on from there. */
@@ -630,13 +633,16 @@
 feed_watch(Feed *f)
 {
     NewsTimes t = news_times(f->m->o.notice_us);
-    bool at_once = f->confirming || f->checking;
+    /* While calls fail, a waiting one would hide for as long that the store
+     * is back. */
+    bool at_once = f->confirming || f->checking || f->failing;
+    int64_t limit_us = f->failing ? CALL_TIMEOUT_US : t.timeout_us;
     int wait_ms = at_once ? CONFIRM_WAIT_MS : (int)(t.wait_us / 1000);
 
     f->m->calls++;
     f->began_us = evl_boottime();
     kv_call(f->conn, f->m->o.codec->watch(f->prefix, f->rev, wait_ms),
-            t.timeout_us, on_watch, f);
+            limit_us, on_watch, f);
 }
 
 static void
--- a/src/pick.c
+++ b/src/pick.c
@@ -1,7 +1,6 @@
 /* pick - choice of an upstream for one request.  See pick.h. */
 #include "pick.h"
 
-#include <string.h>
 
 #include "hash.h"
 
@@ -215,7 +214,9 @@
         n = MIN(n + 1, CANDIDATES);
         at = n - 1;
     }
-    memmove(&c[1], &c[0], (size_t)at * sizeof(c[0]));
+    for (int i = at; i > 0; i--) {
+        c[i] = c[i - 1];
+    }
     c[0] = u;
     return n;
 }
--- a/src/vml.c
+++ b/src/vml.c
@@ -118,6 +118,18 @@
     return NULL;
 }
 
+/* Where a VM with that id stands in the order of the list. */
+static int
+place_for(const Vml *l, const char *id)
+{
+    for (int i = 0; i < vml_count(l); i++) {
+        if (g_strcmp0(vml_at(l, i)->id, id) > 0) {
+            return i;
+        }
+    }
+    return vml_count(l);
+}
+
 void
 vml_put(Vml *l, const Vm *v)
 {
@@ -133,11 +145,7 @@
         }
         return;
     }
-    guint at = l->vms->len;
-    while (at > 0 && strcmp(v->id, vml_at(l, (int)at - 1)->id) < 0) {
-        at--;
-    }
-    g_array_insert_val(l->vms, at, *v);
+    g_array_insert_val(l->vms, (guint)place_for(l, v->id), *v);
 }
 
 void
--- a/tools/platform_lib.sh
+++ b/tests/lib/platform_lib.sh
@@ -1,3 +1,5 @@
+#!/bin/sh
+# shellcheck disable=SC2034,SC2154
 # Entry VMs on the stand-in of the platform, as processes; read by the tests
 # that use them, which set b, the build folder.
 
--- a/tests/platform_endless.sh
+++ b/tests/platform_endless.sh
@@ -5,7 +5,7 @@
 set -u
 b=$1
 PORT=${PORT:-28400}
-. tools/platform_lib.sh
+. tests/lib/platform_lib.sh
 
 # Peak memory that endless bytes may take of a VM; without limits they took
 # hundreds of MB in the 1.5 s of a request.
--- a/tests/platform_path.sh
+++ b/tests/platform_path.sh
@@ -4,7 +4,7 @@
 # usage: platform_path.sh BUILD_DIR
 set -u
 b=$1
-. tools/platform_lib.sh
+. tests/lib/platform_lib.sh
 
 start_platform
 config 3
--- a/tests/platform_pause.sh
+++ b/tests/platform_pause.sh
@@ -5,7 +5,7 @@
 set -u
 b=$1
 PORT=${PORT:-29400}
-. tools/platform_lib.sh
+. tests/lib/platform_lib.sh
 
 start_platform
 config 3
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -438,9 +438,30 @@
 }
 END_TEST
 
+/* Guards against a call that waits in vain while the store is out of reach and
+ * hides that it is back. */
+START_TEST(a_call_after_a_failed_one_does_not_wait)
+{
+    Store s;
+    static const Answer script[] = {
+        {"Serializable=1", 200,
+         "{\"items\":[" ITEM("servers/a",
+                             "3") "],\"HasMore\":false,\"CurrentRev\":5}"},
+        {"after=5&WaitMs=1", 200, "{\"events\":[],\"CurrentRev\":9}"},
+        {"after=9&WaitMs=600", 503, "{}"},
+        {"after=9&WaitMs=1", 200, "{\"events\":[],\"CurrentRev\":9}"},
+        {"after=9&WaitMs=600", 200, "{\"events\":[],\"CurrentRev\":9}"},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, 2000000);
+}
+END_TEST
+
 T_MAIN("mirror", an_old_first_list_is_not_used_before_it_is_confirmed,
        the_oldest_page_says_from_where_to_watch,
        a_list_without_history_behind_it_is_read_anew,
        changes_lost_with_the_history_are_found_again,
        lost_changes_are_known_in_time_though_copies_lag,
-       news_put_off_the_calls_of_a_vm_that_is_turned_away)
+       news_put_off_the_calls_of_a_vm_that_is_turned_away,
+       a_call_after_a_failed_one_does_not_wait)
