Split the search for lost changes and the known keys off mirror

Reading it showed a fault: a list of the store that begins while lost changes are searched for (events that cannot be read) shares the rounds of that search, which could then take keys for missing that only the other list had seen.

A list of the store ends the search. The scripts of test_mirror share their answers.

--- /dev/null
+++ b/src/known.c
@@ -0,0 +1,129 @@
+/* known - the keys of the store that this VM believes in.  See known.h. */
+#include "known.h"
+
+typedef struct Entry {
+    uint32_t round; /* of the list in which it was seen */
+    uint64_t rev;
+    bool gone; /* see known_keep_removed() */
+} Entry;
+
+struct Known {
+    KnownFn changed;
+    void *ctx;
+    uint32_t round;
+    bool keep_removed;
+    GHashTable *entries; /* key -> Entry */
+};
+
+Known *
+known_new(KnownFn changed, void *ctx)
+{
+    Known *k = g_new0(Known, 1);
+
+    k->changed = changed;
+    k->ctx = ctx;
+    k->entries =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return k;
+}
+
+void
+known_free(Known *k)
+{
+    g_hash_table_destroy(k->entries);
+    g_free(k);
+}
+
+bool
+known_apply(Known *k, const KvItem *it, int64_t now_us)
+{
+    if (it->deleted && !k->keep_removed) {
+        g_hash_table_remove(k->entries, it->key);
+    }
+    else {
+        Entry *e = g_new(Entry, 1);
+        *e = (Entry){k->round, it->rev, it->deleted};
+        g_hash_table_replace(k->entries, g_strdup(it->key), e);
+    }
+    return k->changed(k->ctx, it->key, it->deleted ? NULL : it->value, it->rev,
+                      now_us);
+}
+
+void
+known_begin_list(Known *k)
+{
+    k->round++;
+}
+
+bool
+known_nothing(const Known *k)
+{
+    return k->round == 0;
+}
+
+void
+known_apply_old(Known *k, const KvPage *p, int64_t now_us)
+{
+    for (guint i = 0; i < p->items->len; i++) {
+        const KvItem *it = &g_array_index(p->items, KvItem, i);
+        Entry *e = g_hash_table_lookup(k->entries, it->key);
+        if (e == NULL || it->rev > e->rev) {
+            known_apply(k, it, now_us);
+        }
+        else {
+            e->round = k->round;
+        }
+    }
+}
+
+int
+known_drop_missing(Known *k, uint64_t upto, uint32_t lists, int64_t now_us)
+{
+    GHashTableIter it;
+    gpointer key;
+    gpointer v;
+    int missing = 0;
+
+    g_hash_table_iter_init(&it, k->entries);
+    while (g_hash_table_iter_next(&it, &key, &v)) {
+        const Entry *e = v;
+        uint32_t age = k->round - e->round;
+        if (e->gone || e->rev > upto || age == 0) {
+            continue;
+        }
+        missing++;
+        if (age >= lists) {
+            k->changed(k->ctx, key, NULL, upto, now_us);
+            g_hash_table_iter_remove(&it);
+        }
+    }
+    return missing;
+}
+
+void
+known_keep_removed(Known *k, bool keep)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    k->keep_removed = keep;
+    g_hash_table_iter_init(&it, k->entries);
+    while (!keep && g_hash_table_iter_next(&it, NULL, &v)) {
+        if (((const Entry *)v)->gone) {
+            g_hash_table_iter_remove(&it);
+        }
+    }
+}
+
+void
+known_forget(Known *k, uint64_t rev, int64_t now_us)
+{
+    GHashTableIter it;
+    gpointer key;
+
+    g_hash_table_iter_init(&it, k->entries);
+    while (g_hash_table_iter_next(&it, &key, NULL)) {
+        k->changed(k->ctx, key, NULL, rev, now_us);
+        g_hash_table_iter_remove(&it);
+    }
+}
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -1,8 +1,8 @@
 /* mirror - keeps this VM's view of the platform's store.  See mirror.h. */
 #include "mirror.h"
 
-#include <string.h>
-
+#include "gap.h"
+#include "known.h"
 #include "record.h"
 
 #define CALL_TIMEOUT_US 1000000
@@ -17,34 +17,6 @@
  * seconds misses thousands and does not pause between these. */
 #define BEHIND_EVENTS 400
 #define GAP_US 100000 /* until the watch after a gap in the news, at most */
-/* Changes that a dropped history has taken away come from copies of the store
- * that lag, at times by seconds; the store itself is read after a few tries,
- * so that a VM which was cut off knows all within the time in which a change
- * has to be known.  With 12 tries of 0.7 s it used an upstream 14 s after that
- * had said that it leaves. */
-#define FILL_STEP_PART 0.12 /* of that time, between tries */
-#define FILL_STALE_TRIES 3
-
-/* What is known of a key. */
-typedef struct Known {
-    uint32_t round; /* of listing in which it was seen */
-    uint64_t rev;
-    bool gone; /* kept while a list may be older than its removal */
-} Known;
-
-/* Changes in (.., to] that the watch did not bring. */
-typedef struct Gap {
-    bool open;
-    bool urgent; /* the urgent keys are still to be read */
-    uint64_t to;
-    KvConn *conn;
-    EvlTimer timer;
-    char *after; /* last key of the page before */
-    uint64_t oldest;
-    bool again; /* the list lacked known keys */
-    int tries;
-} Gap;
-
 typedef struct Feed {
     struct Mirror *m;
     const char *prefix;
@@ -57,7 +29,6 @@
     bool listed;        /* complete at least once */
     char *after;        /* last key of the page before */
     uint64_t rev;       /* to watch from */
-    uint32_t round;     /* of listing */
     bool doubt;         /* the last list lacked known keys */
     bool pausing;       /* the timer runs for the next watch */
     bool hinted;        /* a gap was told: the others watch too */
@@ -65,8 +36,9 @@
     int64_t trouble_us; /* when a call failed; steady time */
     int64_t backoff_us;
     bool failing;
-    Gap gap;
-    GHashTable *keys; /* key -> Known */
+    bool urgent; /* changes were lost, and the urgent keys come first */
+    Gap *gap;
+    Known *known;
 } Feed;
 
 struct Mirror {
@@ -80,10 +52,7 @@
 };
 
 static void feed_list(Feed *f);
-static void gap_open(Feed *f, int64_t now_us);
-static void gap_urgent(Feed *f);
-static void gap_close(Feed *f);
-static void gap_fill(Feed *f);
+static void feed_urgent(Feed *f);
 static void feed_watch(Feed *f);
 
 static int64_t
@@ -126,32 +95,15 @@
     f->backoff_us = 0;
 }
 
-static void
-remember(Feed *f, const KvItem *it)
-{
-    Known *k = g_new(Known, 1);
-
-    *k = (Known){f->round, it->rev, it->deleted};
-    g_hash_table_replace(f->keys, g_strdup(it->key), k);
-}
-
-/* Returns true when other VMs have to know it. */
 static bool
-apply(Feed *f, const KvItem *it, int64_t now_us)
+on_key(void *ctx, const char *key, GBytes *value, uint64_t rev, int64_t now_us)
 {
-    Mirror *m = f->m;
+    Feed *f = ctx;
 
-    if (it->deleted && !f->gap.open) {
-        g_hash_table_remove(f->keys, it->key);
-    }
-    else {
-        remember(f, it);
-    }
-    if (it->deleted) {
-        record_gone(m->record, it->key);
+    if (value == NULL) {
+        record_gone(f->m->record, key);
     }
-    return m->o.fns.item(m->o.ctx, it->key, it->deleted ? NULL : it->value,
-                         it->rev, now_us);
+    return f->m->o.fns.item(f->m->o.ctx, key, value, rev, now_us);
 }
 
 /* Applies what is newer than the view and adds to "told", if not NULL, what
@@ -161,42 +113,14 @@
 {
     for (guint i = 0; i < p->items->len; i++) {
         KvItem *it = &g_array_index(p->items, KvItem, i);
-        if (it->rev > f->rev && apply(f, it, now_us) && told != NULL) {
+        if (it->rev > f->rev && known_apply(f->known, it, now_us) &&
+            told != NULL) {
             g_ptr_array_add(told, it);
         }
     }
     f->rev = MAX(f->rev, p->rev);
 }
 
-/* Removes the keys that the last "lists" lists lack, this one included.
- * upto: revision of the list; what is younger is not expected in it.  Returns
- * how many it lacks. */
-static int
-drop_missing(Feed *f, uint64_t upto, uint32_t lists, int64_t now_us)
-{
-    GHashTableIter it;
-    gpointer key;
-    gpointer v;
-    int missing = 0;
-
-    g_hash_table_iter_init(&it, f->keys);
-    while (g_hash_table_iter_next(&it, &key, &v)) {
-        const Known *k = v;
-        uint32_t age = f->round - k->round;
-        if (k->gone || k->rev > upto || age == 0) {
-            continue;
-        }
-        missing++;
-        if (age < lists) {
-            continue;
-        }
-        f->m->o.fns.item(f->m->o.ctx, key, NULL, upto, now_us);
-        record_gone(f->m->record, key);
-        g_hash_table_iter_remove(&it);
-    }
-    return missing;
-}
-
 static void
 tell_ready(Mirror *m, int64_t now_us)
 {
@@ -245,10 +169,9 @@
         feed_watch(f);
         return;
     }
-    f->doubt = drop_missing(f, f->rev, 2, now_us) > 0;
+    f->doubt = known_drop_missing(f->known, f->rev, 2, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
     f->listing = false;
-    gap_close(f);
     view_current(f, now_us);
     if (f->doubt) {
         feed_later(f, RELIST_US);
@@ -282,7 +205,7 @@
         f->rev = p.rev;
     }
     for (guint i = 0; i < p.items->len; i++) {
-        apply(f, &g_array_index(p.items, KvItem, i), now_us);
+        known_apply(f->known, &g_array_index(p.items, KvItem, i), now_us);
     }
     if (p.more && p.items->len > 0) {
         g_free(f->after);
@@ -302,8 +225,10 @@
     if (!f->listing) {
         f->listing = true;
         /* Only a VM that knows nothing yet cannot be set back by old news. */
-        f->stale = f->round == 0;
-        f->round++;
+        f->stale = known_nothing(f->known);
+        /* A list of its own would end the rounds of this one. */
+        gap_close(f->gap);
+        known_begin_list(f->known);
         g_clear_pointer(&f->after, g_free);
     }
     f->m->calls++;
@@ -352,7 +277,7 @@
         return;
     }
     Feed *f = &m->feeds[w->feed];
-    if (f->listing || !f->listed || f->doubt || f->gap.urgent) {
+    if (f->listing || !f->listed || f->doubt || f->urgent) {
         return;
     }
     switch (news_use(f->rev, w->from, w->page.rev)) {
@@ -376,139 +301,6 @@
     }
 }
 
-/* Takes in the items of a list that may be older than what is known. */
-static void
-apply_list(Feed *f, const KvPage *p, int64_t now_us)
-{
-    for (guint i = 0; i < p->items->len; i++) {
-        const KvItem *it = &g_array_index(p->items, KvItem, i);
-        Known *k = g_hash_table_lookup(f->keys, it->key);
-        if (k == NULL || it->rev > k->rev) {
-            apply(f, it, now_us);
-        }
-        else {
-            k->round = f->round;
-        }
-    }
-}
-
-static void
-free_conn(gpointer p)
-{
-    kv_free(p);
-}
-
-/* Ends the search for lost changes; removals need no longer be remembered. */
-static void
-gap_close(Feed *f)
-{
-    GHashTableIter it;
-    gpointer v;
-
-    if (!f->gap.open) {
-        return;
-    }
-    evl_disarm(f->m->o.loop, &f->gap.timer);
-    kv_cancel(f->gap.conn);
-    /* This may run in a callback of the connection. */
-    evl_later(f->m->o.loop, free_conn, f->gap.conn);
-    g_free(f->gap.after);
-    f->gap = (Gap){0};
-    g_hash_table_iter_init(&it, f->keys);
-    while (g_hash_table_iter_next(&it, NULL, &v)) {
-        if (((const Known *)v)->gone) {
-            g_hash_table_iter_remove(&it);
-        }
-    }
-}
-
-static int64_t
-fill_step_us(const Feed *f)
-{
-    return (int64_t)((double)f->m->o.notice_us * FILL_STEP_PART);
-}
-
-static void
-gap_later(Feed *f, int64_t us)
-{
-    evl_arm(f->m->o.loop, &f->gap.timer,
-            evl_now(f->m->o.loop) + spread(f->m, us));
-}
-
-static void
-gap_filled(Feed *f, int64_t now_us)
-{
-    g_clear_pointer(&f->gap.after, g_free);
-    /* What has left must not wait for a second list; that one brings back what
-     * the first may have lacked wrongly. */
-    if (drop_missing(f, f->gap.oldest, 1, now_us) > 0 && !f->gap.again) {
-        f->gap.again = true;
-        gap_later(f, RELIST_US);
-        return;
-    }
-    dlog_event(f->m->o.log, DLOG_INFO, "store",
-               "event=gap_filled prefix=%s to=%" G_GUINT64_FORMAT " tries=%d",
-               f->prefix, f->gap.to, f->gap.tries);
-    gap_close(f);
-}
-
-
-static void
-on_fill(void *ctx, int status, Str body, int64_t now_us)
-{
-    Feed *f = ctx;
-    KvPage p = {0};
-    Err e = {0};
-
-    if (status != 200 || !f->m->o.codec->read_page(body, &p, &e)) {
-        kv_page_clear(&p);
-        gap_later(f, fill_step_us(f));
-        return;
-    }
-    if (p.rev < f->gap.to) {
-        kv_page_clear(&p);
-        f->gap.tries++;
-        gap_later(f, fill_step_us(f));
-        return;
-    }
-    if (f->gap.after == NULL) {
-        f->round++;
-        f->gap.oldest = p.rev;
-    }
-    f->gap.oldest = MIN(f->gap.oldest, p.rev);
-    apply_list(f, &p, now_us);
-    bool more = p.more && p.items->len > 0;
-    if (more) {
-        g_free(f->gap.after);
-        f->gap.after =
-            g_strdup(g_array_index(p.items, KvItem, p.items->len - 1).key);
-    }
-    kv_page_clear(&p);
-    if (more) {
-        gap_fill(f);
-    }
-    else {
-        gap_filled(f, now_us);
-    }
-}
-
-static void
-gap_fill(Feed *f)
-{
-    bool stale = f->gap.tries < FILL_STALE_TRIES;
-
-    f->m->calls++;
-    kv_call(f->gap.conn, f->m->o.codec->list(f->prefix, f->gap.after, stale),
-            CALL_TIMEOUT_US, on_fill, f);
-}
-
-static void
-on_gap_timer(void *ctx, int64_t now_us)
-{
-    (void)now_us;
-    gap_fill(ctx);
-}
-
 static void
 on_urgent(void *ctx, int status, Str body, int64_t now_us)
 {
@@ -521,57 +313,35 @@
         feed_failed(f, "list", status, now_us);
         return;
     }
-    f->gap.urgent = false;
+    f->urgent = false;
     if (p.more) {
         /* Too many urgent keys for a part to be of use. */
         kv_page_clear(&p);
-        gap_close(f);
         feed_list(f);
         return;
     }
-    apply_list(f, &p, now_us);
-    f->gap.to = p.rev;
+    known_apply_old(f->known, &p, now_us);
     f->rev = p.rev;
     kv_page_clear(&p);
     feed_works(f);
     feed_pause(f, false, now_us);
-    gap_fill(f);
+    gap_fill(f->gap, f->rev);
 }
 
 /* Reads the keys that bind at once; the watch goes on from there. */
 static void
-gap_urgent(Feed *f)
+feed_urgent(Feed *f)
 {
     f->m->calls++;
     kv_call(f->conn, f->m->o.codec->list(f->m->o.urgent, NULL, false),
             CALL_TIMEOUT_US, on_urgent, f);
 }
 
-/* The store has dropped the history that the watch would go on from. */
-static void
-gap_open(Feed *f, int64_t now_us)
-{
-    (void)now_us;
-    gap_close(f);
-    f->gap.open = true;
-    f->gap.urgent = true;
-    f->gap.conn = kv_new(f->m->o.loop, &f->m->o.store);
-    f->gap.timer = (EvlTimer){.fn = on_gap_timer, .ctx = f};
-    gap_urgent(f);
-}
-
 /* Drops what an old list has told and nothing has confirmed. */
 static void
 forget_unconfirmed(Feed *f, int64_t now_us)
 {
-    GHashTableIter it;
-    gpointer k;
-
-    g_hash_table_iter_init(&it, f->keys);
-    while (g_hash_table_iter_next(&it, &k, NULL)) {
-        f->m->o.fns.item(f->m->o.ctx, k, NULL, f->rev, now_us);
-        g_hash_table_iter_remove(&it);
-    }
+    known_forget(f->known, f->rev, now_us);
     f->confirming = false;
 }
 
@@ -591,7 +361,9 @@
             feed_list(f);
         }
         else {
-            gap_open(f, now_us);
+            f->urgent = true;
+            gap_open(f->gap);
+            feed_urgent(f);
         }
         return;
     }
@@ -652,8 +424,8 @@
     (void)now_us;
 
     f->pausing = false;
-    if (f->gap.urgent) {
-        gap_urgent(f);
+    if (f->urgent) {
+        feed_urgent(f);
     }
     else if (f->confirming) {
         feed_watch(f);
@@ -671,7 +443,7 @@
 {
     for (int i = 0; i < m->n_feeds; i++) {
         Feed *f = &m->feeds[i];
-        if (!f->listed || f->listing || f->doubt || f->gap.urgent) {
+        if (!f->listed || f->listing || f->doubt || f->urgent) {
             continue;
         }
         /* An answer that waits in the socket is as old as the view. */
@@ -706,8 +478,16 @@
         f->m = m;
         f->prefix = o->prefixes[i];
         f->conn = kv_new(o->loop, &o->store);
-        f->keys =
-            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+        f->known = known_new(on_key, f);
+        GapOpts go = {.loop = o->loop,
+                      .log = o->log,
+                      .codec = o->codec,
+                      .store = o->store,
+                      .rnd = o->rnd,
+                      .prefix = f->prefix,
+                      .notice_us = o->notice_us,
+                      .known = f->known};
+        f->gap = gap_new(&go);
         f->timer = (EvlTimer){.fn = on_feed_timer, .ctx = f};
         feed_list(f);
     }
@@ -719,10 +499,10 @@
 {
     for (int i = 0; i < m->n_feeds; i++) {
         Feed *f = &m->feeds[i];
-        gap_close(f);
+        gap_free(f->gap);
         evl_disarm(m->o.loop, &f->timer);
         kv_free(f->conn);
-        g_hash_table_destroy(f->keys);
+        known_free(f->known);
         g_free(f->after);
     }
     record_free(m->record);
@@ -733,7 +513,12 @@
 int64_t
 mirror_calls(const Mirror *m)
 {
-    return m->calls + record_calls(m->record);
+    int64_t n = m->calls + record_calls(m->record);
+
+    for (int i = 0; i < m->n_feeds; i++) {
+        n += gap_calls(m->feeds[i].gap);
+    }
+    return n;
 }
 
 int64_t
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -1,12 +1,12 @@
 /*
  * mirror - keeps this VM's view of the platform's store, and its own record.
  *
- * Lists once, then watches; lists again when the store has forgotten the
- * history.  Serves on from memory while the store is away.  A key counts as
- * removed when an event says so or when two lists in a row lack it, since a
- * page may have a gap.  The VM's own record lives under a lease.  What a
- * watch brings is told to the VMs near by, and what they tell puts the own
- * watch off (news).
+ * Lists once, then watches.  When the store has forgotten the history, the
+ * urgent keys are read at once, the watch goes on from there, and gap finds
+ * what was missed.  Serves on from memory while the store is away.  A key
+ * counts as removed when an event says so, or when lists lack it.  The VM's
+ * own record lives under a lease.  What a watch brings is told to the VMs near
+ * by, and what they tell puts the own watch off (news).
  */
 #ifndef MIMOSA_MIRROR_H
 #define MIMOSA_MIRROR_H
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -53,13 +53,25 @@
     char at_end[256];
 } Store;
 
+/* A pattern that ends with "$" has to be the end of the call. */
+static bool
+fits(const char *call, const char *pattern)
+{
+    size_t n = strlen(pattern);
+    size_t all = strlen(call);
+
+    if (pattern[n - 1] != '$') {
+        return strstr(call, pattern) != NULL;
+    }
+    return all >= n - 1 && strncmp(call + all - (n - 1), pattern, n - 1) == 0;
+}
+
 /* Each call gets the first answer that fits and was not given yet. */
 static const Answer *
 answer_for(Store *s, const char *call)
 {
     for (int i = 0; s->script[i].call != NULL; i++) {
-        if ((s->used & 1U << i) == 0 &&
-            strstr(call, s->script[i].call) != NULL) {
+        if ((s->used & 1U << i) == 0 && fits(call, s->script[i].call)) {
             s->used |= 1U << i;
             return &s->script[i];
         }
@@ -273,6 +285,18 @@
 #define ITEM(key, rev)                                                        \
     "{\"Key\":\"" key "\",\"Value\":\"eA==\",\"Rev\":" rev "}"
 
+#define LIST(items, rev)                                                      \
+    "{\"items\":[" items "],\"HasMore\":false,\"CurrentRev\":" rev "}"
+#define EVENTS(items, rev) "{\"events\":[" items "],\"CurrentRev\":" rev "}"
+#define GONE(key, rev) "{\"Key\":\"" key "\",\"Rev\":" rev ",\"Deleted\":true}"
+/* A start with two upstreams, confirmed at revision 9. */
+#define START_WITH_A_AND_B                                                    \
+    {"Serializable=1", 200,                                                   \
+     LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "5")},           \
+    {                                                                         \
+        "after=5&WaitMs=1", 200, EVENTS("", "9")                              \
+    }
+
 /* Guards against a restarted VM that uses an upstream which has left, or
  * routes that were withdrawn, because its first list of the store was old. */
 START_TEST(an_old_first_list_is_not_used_before_it_is_confirmed)
@@ -280,11 +304,8 @@
     Store s;
     static const Answer script[] = {
         {"Serializable=1", 200,
-         "{\"items\":[" ITEM("servers/a", "3") "," ITEM(
-             "servers/b", "4") "],\"HasMore\":false,\"CurrentRev\":5}"},
-        {"after=5&WaitMs=1", 200,
-         "{\"events\":[{\"Key\":\"servers/a\",\"Rev\":8,\"Deleted\":true}],"
-         "\"CurrentRev\":9}"},
+         LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "5")},
+        {"after=5&WaitMs=1", 200, EVENTS(GONE("servers/a", "8"), "9")},
         {NULL, 0, NULL},
     };
 
@@ -303,11 +324,8 @@
          "{\"items\":[" ITEM("servers/a",
                              "3") "],\"HasMore\":true,\"CurrentRev\":9}"},
         {"after=servers/a&Serializable=1", 200,
-         "{\"items\":[" ITEM("servers/b",
-                             "4") "],\"HasMore\":false,\"CurrentRev\":6}"},
-        {"after=6&WaitMs=1", 200,
-         "{\"events\":[{\"Key\":\"servers/b\",\"Rev\":7,\"Deleted\":true}],"
-         "\"CurrentRev\":9}"},
+         LIST(ITEM("servers/b", "4"), "6")},
+        {"after=6&WaitMs=1", 200, EVENTS(GONE("servers/b", "7"), "9")},
         {NULL, 0, NULL},
     };
 
@@ -322,13 +340,9 @@
 {
     Store s;
     static const Answer script[] = {
-        {"Serializable=1", 200,
-         "{\"items\":[" ITEM("servers/a",
-                             "3") "],\"HasMore\":false,\"CurrentRev\":5}"},
+        {"Serializable=1", 200, LIST(ITEM("servers/a", "3"), "5")},
         {"after=5&WaitMs=1", 410, "{}"},
-        {"/api/kv-range?PathPrefix=", 200,
-         "{\"items\":[" ITEM("servers/b",
-                             "8") "],\"HasMore\":false,\"CurrentRev\":9}"},
+        {"/api/kv-range?PathPrefix=$", 200, LIST(ITEM("servers/b", "8"), "9")},
         {NULL, 0, NULL},
     };
 
@@ -345,29 +359,21 @@
 {
     Store s;
     static const Answer script[] = {
-        {"Serializable=1", 200,
-         "{\"items\":[" ITEM("servers/a", "3") "," ITEM(
-             "servers/b", "4") "],\"HasMore\":false,\"CurrentRev\":5}"},
-        {"after=5&WaitMs=1", 200, "{\"events\":[],\"CurrentRev\":9}"},
+        START_WITH_A_AND_B,
         {"after=9&", 410, "{}"},
-        {"PathPrefix=op/", 200,
-         "{\"items\":[" ITEM("op/evacuate/z",
-                             "12") "],\"HasMore\":false,\"CurrentRev\":20}"},
-        {"after=20&", 200,
-         "{\"events\":[{\"Key\":\"servers/b\",\"Rev\":22,\"Deleted\":true}],"
-         "\"CurrentRev\":22}"},
+        {"PathPrefix=op/", 200, LIST(ITEM("op/evacuate/z", "12"), "20")},
+        {"after=20&", 200, EVENTS(GONE("servers/b", "22"), "22")},
         /* Too old to tell what was lost. */
         {"Serializable=1", 200,
-         "{\"items\":[" ITEM("servers/a", "3") "," ITEM(
-             "servers/b", "4") "],\"HasMore\":false,\"CurrentRev\":15}"},
+         LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "15")},
+        /* Without the upstream that left and with one that came; "b" is gone
+         * since. */
         {"Serializable=1", 200,
-         "{\"items\":[" ITEM("op/evacuate/z", "12") "," ITEM(
-             "servers/b",
-             "4") "," ITEM("servers/c",
-                           "13") "],\"HasMore\":false,\"CurrentRev\":21}"},
+         LIST(ITEM("op/evacuate/z", "12") "," ITEM("servers/b", "4") "," ITEM(
+                  "servers/c", "13"),
+              "21")},
         {"Serializable=1", 200,
-         "{\"items\":[" ITEM("op/evacuate/z", "12") "," ITEM(
-             "servers/c", "13") "],\"HasMore\":false,\"CurrentRev\":23}"},
+         LIST(ITEM("op/evacuate/z", "12") "," ITEM("servers/c", "13"), "23")},
         {NULL, 0, NULL},
     };
 
@@ -377,42 +383,69 @@
 }
 END_TEST
 
+/* Calls whose target holds the text, from one on. */
+static int
+calls_with(const Store *s, int from, const char *text)
+{
+    int n = 0;
+
+    for (int i = from; i < s->n_calls; i++) {
+        n += strstr(s->calls[i], text) != NULL;
+    }
+    return n;
+}
+
 /* Guards against a VM that was cut off and goes on using an upstream which has
  * left, for as long as the copies of the store lag. */
 START_TEST(lost_changes_are_known_in_time_though_copies_lag)
 {
     Store s;
     static const Answer script[] = {
-        {"Serializable=1", 200,
-         "{\"items\":[" ITEM("servers/a",
-                             "3") "],\"HasMore\":false,\"CurrentRev\":5}"},
-        {"after=5&WaitMs=1", 200, "{\"events\":[],\"CurrentRev\":9}"},
+        START_WITH_A_AND_B,
         {"after=9&", 410, "{}"},
-        {"PathPrefix=op/", 200,
-         "{\"items\":[],\"HasMore\":false,\"CurrentRev\":20}"},
-        {"Serializable=1", 200,
-         "{\"items\":[],\"HasMore\":false,\"CurrentRev\":15}"},
-        {"Serializable=1", 200,
-         "{\"items\":[],\"HasMore\":false,\"CurrentRev\":15}"},
-        {"Serializable=1", 200,
-         "{\"items\":[],\"HasMore\":false,\"CurrentRev\":16}"},
-        {"/api/kv-range?PathPrefix=", 200,
-         "{\"items\":[" ITEM("servers/c",
-                             "13") "],\"HasMore\":false,\"CurrentRev\":21}"},
-        {"/api/kv-range?PathPrefix=", 200,
-         "{\"items\":[" ITEM("servers/c",
-                             "13") "],\"HasMore\":false,\"CurrentRev\":22}"},
+        {"PathPrefix=op/", 200, LIST("", "20")},
+        {"Serializable=1", 200, LIST("", "15")},
+        {"Serializable=1", 200, LIST("", "15")},
+        {"Serializable=1", 200, LIST("", "16")},
+        {"/api/kv-range?PathPrefix=$", 200,
+         LIST(ITEM("servers/c", "13"), "21")},
+        {"/api/kv-range?PathPrefix=$", 200,
+         LIST(ITEM("servers/c", "13"), "22")},
         {NULL, 0, NULL},
     };
 
     /* 0.5 s to the watch, and the time in which a change has to be known. */
     run(&s, script, 500000 + NOTICE_US);
     ck_assert_str_eq(s.at_end, "servers/c ");
-    int stale = 0;
-    for (int i = 0; i < s.n_calls; i++) {
-        stale += strstr(s.calls[i], "Serializable") != NULL;
+    ck_assert_int_eq(calls_with(&s, 0, "Serializable"), 4);
+}
+END_TEST
+
+/* Guards against two lists at the same time, of which one takes the keys that
+ * only the other has seen for missing. */
+START_TEST(a_list_of_the_store_ends_the_search_for_lost_changes)
+{
+    Store s;
+    static const Answer script[] = {
+        START_WITH_A_AND_B,
+        {"after=9&", 410, "{}"},
+        {"PathPrefix=op/", 200, LIST("", "20")},
+        {"Serializable=1", 200, LIST("", "15")},
+        {"Serializable=1", 200, LIST("", "15")},
+        /* Unreadable, so that all is listed; the third copy has no answer. */
+        {"after=20&", 200, "{"},
+        {"/api/kv-range?PathPrefix=$", 200,
+         LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "30")},
+        {NULL, 0, NULL},
+    };
+    int list = 0;
+
+    run(&s, script, 3000000);
+    ck_assert_str_eq(s.at_end, "servers/a servers/b ");
+    while (!fits(s.calls[list], "PathPrefix=$")) {
+        list++;
     }
-    ck_assert_int_eq(stale, 4);
+    ck_assert_int_eq(calls_with(&s, list + 1, "/api/kv-range"), 0);
 }
 END_TEST
 
@@ -422,10 +455,7 @@
 {
     Store s;
     static const Answer script[] = {
-        {"Serializable=1", 200,
-         "{\"items\":[" ITEM("servers/a",
-                             "3") "],\"HasMore\":false,\"CurrentRev\":5}"},
-        {"after=5&WaitMs=1", 200, "{\"events\":[],\"CurrentRev\":9}"},
+        START_WITH_A_AND_B,
         {"after=9&", 503, "{}"},
         {NULL, 0, NULL},
     };
@@ -444,13 +474,10 @@
 {
     Store s;
     static const Answer script[] = {
-        {"Serializable=1", 200,
-         "{\"items\":[" ITEM("servers/a",
-                             "3") "],\"HasMore\":false,\"CurrentRev\":5}"},
-        {"after=5&WaitMs=1", 200, "{\"events\":[],\"CurrentRev\":9}"},
+        START_WITH_A_AND_B,
         {"after=9&WaitMs=600", 503, "{}"},
-        {"after=9&WaitMs=1", 200, "{\"events\":[],\"CurrentRev\":9}"},
-        {"after=9&WaitMs=600", 200, "{\"events\":[],\"CurrentRev\":9}"},
+        {"after=9&WaitMs=1", 200, EVENTS("", "9")},
+        {"after=9&WaitMs=600", 200, EVENTS("", "9")},
         {NULL, 0, NULL},
     };
 
@@ -463,5 +490,6 @@
        a_list_without_history_behind_it_is_read_anew,
        changes_lost_with_the_history_are_found_again,
        lost_changes_are_known_in_time_though_copies_lag,
+       a_list_of_the_store_ends_the_search_for_lost_changes,
        news_put_off_the_calls_of_a_vm_that_is_turned_away,
        a_call_after_a_failed_one_does_not_wait)
