--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -133,8 +133,8 @@
     ck_assert_int_le(s->n_conns, CONNS_MAX);
     c->s = s;
     h1_init(&c->req, true);
-    strm_accept(&c->strm, s->loop, accept(s->listener.fd, NULL, NULL),
-                on_stream, c);
+    int fd = accept4(s->listener.fd, NULL, NULL, SOCK_NONBLOCK);
+    strm_accept(&c->strm, s->loop, fd, on_stream, c);
 }
 
 static void
