--- a/src/pick.c
+++ b/src/pick.c
@@ -172,8 +172,10 @@
     const GPtrArray *list = ups_of_service(in->set, in->service->id);
     int n = 0;
 
-    for (uint64_t i = 0; list != NULL && i < SAMPLE_TRIES && n < CANDIDATES;
-         i++) {
+    if (list == NULL || list->len == 0) {
+        return 0;
+    }
+    for (uint64_t i = 0; i < SAMPLE_TRIES && n < CANDIDATES; i++) {
         Ups *u = g_ptr_array_index(list, hash_mix(in->object, i) % list->len);
         bool twice = false;
         for (int k = 0; k < n; k++) {
