--- a/src/demand.c
+++ b/src/demand.c
@@ -12,6 +12,9 @@
 /* Fraction of the retry budget that is used; the rest is a margin for lost
  * counts. */
 #define RETRY_FRACTION 0.7
+/* Overflows that one VM may send at once.  It is the smallest whole number, as
+ * the burst comes on top of the share. */
+#define OVERFLOW_BURST 1.0
 #define DEMAND_MIN_SLOTS 0.5 /* a lower demand counts as no traffic */
 
 /* Demand reported by another VM. */
@@ -74,10 +77,17 @@
 demand_arrived(Demand *d, DemandService *s, int n_vms)
 {
     s->arrived++;
+    s->used = true;
     bucket_add(&s->retries, d->o.retry_ratio * RETRY_FRACTION,
                retry_burst(d, n_vms));
 }
 
+void
+demand_admitted(const Demand *d, DemandService *s)
+{
+    bucket_add(&s->overflows, d->o.max_overflow, OVERFLOW_BURST);
+}
+
 void
 demand_served(DemandService *s, int64_t work_us)
 {
@@ -94,6 +104,18 @@
     return bucket_take(&s->retries, per_s, burst, now_us);
 }
 
+bool
+demand_may_overflow(DemandService *s, int64_t now_us)
+{
+    return bucket_has(&s->overflows, 0, OVERFLOW_BURST, now_us);
+}
+
+void
+demand_overflowed(DemandService *s, int64_t now_us)
+{
+    bucket_take(&s->overflows, 0, OVERFLOW_BURST, now_us);
+}
+
 double
 demand_own(const DemandService *s)
 {
@@ -162,7 +184,8 @@
              const int *vms_by_region, int64_t now_us)
 {
     SplitIn in = {.n = d->o.topology->n_regions,
-                  .max_shift_per_s = d->o.max_shift_per_s};
+                  .max_shift_per_s = d->o.max_shift_per_s,
+                  .unused = !s->used};
     int reports[REGIONS_MAX] = {0};
     double sum = 0;
 
--- a/src/demand.h
+++ b/src/demand.h
@@ -4,8 +4,9 @@
  * A VM measures the demand of its own callers, in slots, and receives that of
  * the other VMs.  The shares of the regions (split) are computed from the sums
  * and from the usable upstreams.  The module also keeps this VM's part of the
- * retry budget, which is a limit for all VMs together.  It does no I/O and
- * reads no clock.
+ * retry budget, which is a limit for all VMs together, and the share of its
+ * requests that may overflow to other regions.  It does no I/O and reads no
+ * clock.
  */
 #ifndef MIMOSA_DEMAND_H
 #define MIMOSA_DEMAND_H
@@ -21,6 +22,8 @@
     uint64_t id; /* hash of the service's name */
     Split split;
     Bucket retries;
+    Bucket overflows;
+    bool used;     /* this VM has received a request for it */
     int arrived;   /* requests since the last step */
     double rate;   /* requests per second, moving average */
     double work_s; /* service time in an upstream, moving average */
@@ -32,6 +35,8 @@
     const Topology *topology;
     int region;             /* of this VM */
     double max_shift_per_s; /* see SplitIn */
+    double max_overflow;    /* share of a service's requests that may
+                               overflow to other regions */
     double retry_ratio;     /* retries per request, for all VMs */
     double retry_slack;     /* extra retries per window, for all VMs */
     int64_t retry_window_us;
@@ -46,6 +51,10 @@
 /* Counts a request, which adds to the retry budget. */
 void demand_arrived(Demand *d, DemandService *s, int n_vms);
 
+/* Counts a request that is sent to an upstream, which adds to the share that
+ * may overflow.  Refused requests add nothing: they run in no region. */
+void demand_admitted(const Demand *d, DemandService *s);
+
 /* Adds a service time to the average. */
 void demand_served(DemandService *s, int64_t work_us);
 
@@ -53,6 +62,12 @@
  */
 bool demand_retry(Demand *d, DemandService *s, int n_vms, int64_t now_us);
 
+/* Returns true if a request may overflow to another region (see pick.h); it
+ * is counted by demand_overflowed().  As each VM keeps to the share, all VMs
+ * together do. */
+bool demand_may_overflow(DemandService *s, int64_t now_us);
+void demand_overflowed(DemandService *s, int64_t now_us);
+
 /* Returns the demand of this VM's callers, in slots. */
 double demand_own(const DemandService *s);
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -9,6 +9,7 @@
 #include "edge_state.h"
 #include "hash.h"
 #include "pf.h"
+#include "spare.h"
 
 #define LOG_LINES_PER_S 60.0 /* about 20 KB/s and 1 % of a small machine */
 #define LOG_BUFFER_BYTES (256 * 1024)
@@ -26,9 +27,12 @@
 /* Subtracted from the drain time, as a watch reports changes with a delay. */
 #define GONE_MARGIN_US 400000
 #define SHIFT_WINDOW_S 2.0 /* the window of max_shift */
-/* Fraction of max_shift by which shares may move; the rest allows for random
- * variation of the requests. */
-#define SHIFT_PART 0.6
+/* Parts of max_shift: for the movement of shares within a window, and for the
+ * share of requests that overflows.  An overflow may begin and end within a
+ * window, so its whole share counts.  The rest allows for random variation of
+ * the requests. */
+#define SHIFT_PART 0.1
+#define OVERFLOW_PART 0.6
 /* A planned stop.  STOP_CLOSE_US after the signal, responses begin to announce
  * that their connections close.  STOP_RESERVE_US before the VM is killed, idle
  * connections are closed and the process ends as soon as no request is in
@@ -204,6 +208,31 @@
     }
 }
 
+static void
+open_spare(void *ctx, Ups *u)
+{
+    uconn_open_spare(((Edge *)ctx)->pool, u);
+}
+
+static void
+step_spares(Edge *g, int64_t now_us)
+{
+    const RtTable *t = px_routes(g->px);
+
+    for (int i = 0; t != NULL && i < rt_n_services(t); i++) {
+        const RtService *s = rt_service(t, i);
+        SpareIn in = {
+            .set = g->upstreams,
+            .service = s,
+            .demand = demand_service(g->demand, s->id),
+            .region = g->set.topology.region_of[g->set.zone],
+            .n_vms = vml_count(g->vms),
+            .max_rtt_us = vml_max_rtt_us(g->vms),
+        };
+        spare_step(&in, open_spare, g, now_us);
+    }
+}
+
 static void
 on_tick(void *ctx, int64_t now_us)
 {
@@ -231,6 +260,9 @@
     if (g->shutting_down) {
         step_shutdown(g, now_us);
     }
+    else {
+        step_spares(g, now_us);
+    }
     dlog_flush(g->log);
     evl_arm(g->loop, &g->tick, now_us + TICK_US);
 }
@@ -266,6 +298,7 @@
         .topology = topo,
         .region = region,
         .max_shift_per_s = g->set.max_shift / SHIFT_WINDOW_S * SHIFT_PART,
+        .max_overflow = g->set.max_shift * OVERFLOW_PART,
         .retry_ratio = g->set.retry_ratio,
         .retry_slack = g->set.retry_slack,
         .retry_window_us = g->set.retry_window_us,
@@ -345,6 +378,7 @@
 edge_new(Evl *loop, const char *file, Err *e)
 {
     Edge *g = g_new0(Edge, 1);
+    const Topology *topo = &g->set.topology;
 
     g->loop = loop;
     g->file = g_strdup(file);
@@ -363,8 +397,9 @@
     start_heartbeats(g);
     start_mirror(g);
     dlog_event(g->log, DLOG_INFO, "vm",
-               "id=%s event=started zone=%s boot=%" PRIu64, g->set.vm_id,
-               g->set.topology.zones[g->set.zone], g->boot_ms);
+               "id=%s event=started zone=%s region=%s boot=%" PRIu64,
+               g->set.vm_id, topo->zones[g->set.zone],
+               topo->regions[topo->region_of[g->set.zone]], g->boot_ms);
     dlog_flush(g->log);
     evl_on_stall(loop, on_stall, g);
     g->tick = (EvlTimer){.fn = on_tick, .ctx = g};
--- a/src/pick.c
+++ b/src/pick.c
@@ -103,17 +103,23 @@
     return in->service->cold_per_s * COLD_FRACTION / n;
 }
 
+int
+pick_max_conns(const RtService *s, int n_vms)
+{
+    int share = (int)(s->max_conns * CONNS_FRACTION / MAX(n_vms, 1));
+
+    return MAX(share, CONNS_MIN);
+}
+
 static bool
 may_use(const PickIn *in, Ups *u, int64_t now_us)
 {
-    int conns =
-        (int)(in->service->max_conns * CONNS_FRACTION / MAX(in->n_vms, 1));
-
     if (!ups_usable(in->set, u) || was_tried(in, u) ||
         now_us - u->connect_failed_us < DOWN_RETRY_US) {
         return false;
     }
-    if (u->idle_conns.length == 0 && u->n_conns >= MAX(conns, CONNS_MIN)) {
+    if (u->idle_conns.length == 0 &&
+        u->n_conns >= pick_max_conns(in->service, in->n_vms)) {
         return false;
     }
     if (!rt_region_allowed(in->route, in->topology->regions[u->region])) {
@@ -278,6 +284,49 @@
     return has_capacity(c[*at], in->route->rank, now_us) ? c[*at] : NULL;
 }
 
+/* Returns the least loaded of the object's upstreams in the other regions, or
+ * NULL if none of them is warm, not degraded and has a free slot. */
+static Ups *
+overflow(const PickIn *in, int region, int64_t now_us)
+{
+    Ups *best = NULL;
+    double best_load = 1;
+
+    for (int r = 0; r < in->topology->n_regions; r++) {
+        Ups *c[CANDIDATES];
+        if (r == region) {
+            continue;
+        }
+        int n = candidates(in, r, c, now_us);
+        n = put_owner_first(in, r, c, n, now_us);
+        if (n == 0 || pick_is_degraded(c[0], now_us) ||
+            ups_cold(in->set, c[0], in->service->warmup_us, now_us)) {
+            continue;
+        }
+        double load = (ups_load(c[0], now_us) + 1) / c[0]->slots;
+        if (load <= best_load) {
+            best_load = load;
+            best = c[0];
+        }
+    }
+    return best;
+}
+
+/* Chooses for a request whose candidates are full.  scope: region of the
+ * candidates, or RANKS_ANY_REGION. */
+static Ups *
+pick_elsewhere(const PickIn *in, int scope, int64_t now_us, PickReason *why)
+{
+    Ups *u = scope == RANKS_ANY_REGION ? NULL : overflow(in, scope, now_us);
+
+    if (u == NULL) {
+        *why = PICK_FULL;
+        return NULL;
+    }
+    *why = in->may_overflow ? PICK_OVERFLOW : PICK_CAPPED;
+    return in->may_overflow ? u : NULL;
+}
+
 Ups *
 pick_upstream(const PickIn *in, int64_t now_us, PickReason *why)
 {
@@ -309,8 +358,8 @@
     }
     Ups *u = choose(in, c, n, now_us, &at);
     if (u == NULL) {
-        *why = PICK_FULL;
-        return NULL;
+        return pick_elsewhere(in, remote ? RANKS_ANY_REGION : region, now_us,
+                              why);
     }
     if (ups_cold(in->set, u, in->service->warmup_us, now_us)) {
         bucket_take(&u->cold_bucket, cold_rate(in), COLD_BURST, now_us);
@@ -322,8 +371,8 @@
 const char *
 pick_reason_name(PickReason w)
 {
-    static const char *const names[] = {"first", "spill", "away", "full",
-                                        "none"};
+    static const char *const names[] = {"first",  "spill", "away", "overflow",
+                                        "capped", "full",  "none"};
 
     return names[w];
 }
--- a/src/pick.h
+++ b/src/pick.h
@@ -12,7 +12,15 @@
  * target, callers of all regions use the same upstream for an object: fewer
  * upstreams have to cache it, and all regions share the load.  Otherwise each
  * region uses its own upstream for the object, in the region chosen by the
- * split.  The module does no I/O and reads no clock.
+ * split.
+ *
+ * If the upstream in the chosen region is full, the request may overflow to
+ * the upstream of the same object in another region, which that region's own
+ * callers keep warm.  Designed for regions whose callers need more slots than
+ * they have while other regions have free ones.  An overflow uses free slots
+ * only, so that callers of the other region do not queue behind it.
+ *
+ * The module does no I/O and reads no clock.
  */
 #ifndef MIMOSA_PICK_H
 #define MIMOSA_PICK_H
@@ -27,11 +35,15 @@
 #define PICK_TRIED_MAX 8 /* recorded attempts of one request */
 
 typedef enum PickReason {
-    PICK_FIRST,  /* the object's first candidate */
-    PICK_SPILL,  /* a later candidate, as the first one is degraded */
-    PICK_REMOTE, /* any region, as the chosen one has no usable upstream */
-    PICK_FULL,   /* the candidates have no capacity for this rank */
-    PICK_NONE    /* no usable upstream in any region */
+    PICK_FIRST,    /* the object's first candidate */
+    PICK_SPILL,    /* a later candidate, as the first one is degraded */
+    PICK_REMOTE,   /* any region, as the chosen one has no usable upstream */
+    PICK_OVERFLOW, /* another region, as the candidates in the chosen one are
+                      full */
+    PICK_CAPPED,   /* no upstream: the request may not overflow, though another
+                      region has a free slot */
+    PICK_FULL,     /* the candidates have no capacity for this rank */
+    PICK_NONE      /* no usable upstream in any region */
 } PickReason;
 
 /* An entry VM; all of them share the rate limits of cold upstreams. */
@@ -53,6 +65,8 @@
     int n_vms;
     int self;             /* index in vms */
     uint32_t vms_version; /* version of vms and self; 0: unknown */
+    bool may_overflow;    /* the request may leave the chosen region when its
+                             upstream there is full */
     int cold_vms_max;     /* maximum number of VMs that use a cold upstream */
     int64_t max_rtt_us;   /* longest round trip between regions */
     const Ups *tried[PICK_TRIED_MAX];
@@ -70,6 +84,9 @@
  * that a cold upstream is preferable. */
 bool pick_is_degraded(const Ups *u, int64_t now_us);
 
+/* Maximum number of connections of this VM to one upstream. */
+int pick_max_conns(const RtService *s, int n_vms);
+
 const char *pick_reason_name(PickReason w);
 
 #endif
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -33,6 +33,7 @@
     int64_t sent_us; /* start of the current attempt at an upstream */
     Ups *u;          /* upstream of the running attempt, or NULL */
     Uconn *conn;
+    bool new_conn; /* the last attempt waited for a new connection */
     Ups *tried[PICK_TRIED_MAX]; /* upstreams of all attempts, in order */
     int n_tried;
     int n_mismatched; /* complete responses to other requests */
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -24,6 +24,17 @@
 #define OVERDUE_FACTOR 4.0
 #define COLD_VMS 4 /* VMs that may use one cold upstream */
 
+/* A request may overflow to another region if it can be served there before
+ * its deadline. */
+static bool
+may_overflow(const Req *r, int64_t now_us)
+{
+    int64_t needed_us = r->p->max_rtt_us + (int64_t)(r->demand->work_s * 1e6);
+
+    return r->end_us - now_us > needed_us &&
+           demand_may_overflow(r->demand, now_us);
+}
+
 Ups *
 pxtry_pick(Req *r, int64_t now_us)
 {
@@ -43,11 +54,16 @@
         .vms_version = p->vms_version,
         .cold_vms_max = COLD_VMS,
         .max_rtt_us = p->max_rtt_us,
+        .may_overflow = may_overflow(r, now_us),
         .n_tried = r->n_tried,
     };
 
     memcpy(in.tried, r->tried, sizeof(r->tried));
-    return pick_upstream(&in, now_us, &r->why);
+    Ups *u = pick_upstream(&in, now_us, &r->why);
+    if (r->why == PICK_OVERFLOW) {
+        demand_overflowed(r->demand, now_us);
+    }
+    return u;
 }
 
 /* Time at which the running attempt counts as overdue. */
@@ -373,6 +389,9 @@
     int64_t left_ms = (r->last_us - now_us - RETURN_MARGIN_US) / 1000;
 
     pxreq_dequeue(r);
+    if (r->n_tried == 0) {
+        demand_admitted(p->o.demand, r->demand);
+    }
     r->timer.fn = on_timer;
     r->timer.ctx = r;
     r->tried[r->n_tried++] = ups_ref(u);
@@ -384,8 +403,10 @@
     r->u = u;
     r->state = REQ_SENT;
     r->sent_us = now_us;
+    r->new_conn = !uconn_connected(r->conn);
     u->inflight++;
     u->used = true;
+    u->sent_us = now_us;
     GString *head =
         pxhead_request(r->head, p->o.names, u->id, MAX(left_ms, 1));
     uconn_send(r->conn, head->str, head->len, r->head->body->data,
--- a/src/split.c
+++ b/src/split.c
@@ -122,7 +122,7 @@
 
     target_rows(in, to);
     keep_excess(in, to);
-    if (s->at_us == 0 || s->n != in->n) {
+    if (s->at_us == 0 || s->n != in->n || in->unused) {
         memcpy(s->share, to, sizeof(to));
     }
     for (int f = 0; f < in->n; f++) {
--- a/src/split.h
+++ b/src/split.h
@@ -27,10 +27,13 @@
     double capacity[REGIONS_MAX]; /* usable slots */
     double demand[REGIONS_MAX];   /* slots that its callers need */
     double max_shift_per_s; /* share of a row's requests moved per second */
+    bool unused;            /* no request has used the shares yet */
 } SplitIn;
 
 /* Moves the shares towards the target computed from the input.  The first call
- * sets them at once.  A region without capacity loses its shares at once. */
+ * sets them at once, and so do further calls while the shares are unused: at
+ * the start of a VM its list of upstreams and the demand that it knows are
+ * incomplete.  A region without capacity loses its shares at once. */
 void split_step(Split *s, const SplitIn *in, int64_t now_us);
 
 /* Returns the region for an object with this hash in [0, 1).  An object keeps
--- a/src/uconn.c
+++ b/src/uconn.c
@@ -33,6 +33,7 @@
     bool in_progress; /* a request was sent and its response is not complete */
     bool no_reuse;    /* a response to another request was received */
     bool idle;
+    bool spare; /* becomes idle once it is established */
     bool closed;
     GList link;     /* in Ups.idle_conns */
     GList all_link; /* in UconnPool.all */
@@ -123,7 +124,11 @@
         close_conn(c);
         return;
     }
-    if (c->strm.connecting) {
+    if (c->spare) {
+        ups_observe_connect_failure(c->u, evl_now(c->pool->loop));
+        close_conn(c);
+    }
+    else if (c->strm.connecting) {
         notify(c, UCONN_CONNECT_FAILED);
     }
     else if (clean && c->response.has_head &&
@@ -135,6 +140,39 @@
     }
 }
 
+/* Puts a connection into the pool of its upstream. */
+static void
+make_idle(Uconn *c)
+{
+    int64_t keep_us = c->u->keep_us;
+
+    if (keep_us == 0) {
+        keep_us = (int64_t)(KEEP_ALIVE_DEFAULT_US * KEEP_ALIVE_FRACTION);
+    }
+    c->idle_until_us = evl_now(c->pool->loop) + keep_us;
+    c->idle = true;
+    g_queue_push_tail_link(&c->u->idle_conns, &c->link);
+}
+
+static void
+on_connected(Uconn *c)
+{
+    if (c->spare && c->u->state != UPS_READY) {
+        close_conn(c);
+    }
+    else if (c->spare) {
+        c->spare = false;
+        make_idle(c);
+    }
+    else if (!c->sent) {
+        notify(c, UCONN_CONNECTED);
+    }
+    else if (c->queued->len > 0) {
+        strm_write(&c->strm, c->queued->data, c->queued->len);
+        g_byte_array_set_size(c->queued, 0);
+    }
+}
+
 static void
 on_stream(void *ctx, StrmEvent ev)
 {
@@ -142,13 +180,7 @@
 
     switch (ev) {
     case STRM_CONNECTED:
-        if (!c->sent) {
-            notify(c, UCONN_CONNECTED);
-        }
-        else if (c->queued->len > 0) {
-            strm_write(&c->strm, c->queued->data, c->queued->len);
-            g_byte_array_set_size(c->queued, 0);
-        }
+        on_connected(c);
         break;
     case STRM_READABLE:
         if (c->idle || !c->sent) {
@@ -245,27 +277,48 @@
     return NULL;
 }
 
+static Uconn *
+new_conn(UconnPool *p, Ups *u)
+{
+    Uconn *c = g_new0(Uconn, 1);
+
+    if (!strm_connect(&c->strm, p->loop, (const struct sockaddr *)&u->addr,
+                      UNACKED_MS, on_stream, c)) {
+        g_free(c);
+        return NULL;
+    }
+    c->pool = p;
+    c->u = ups_ref(u);
+    c->link.data = c;
+    c->all_link.data = c;
+    c->queued = g_byte_array_new();
+    h1_init(&c->response, false);
+    g_queue_push_tail_link(&p->all, &c->all_link);
+    u->n_conns++;
+    p->opened++;
+    return c;
+}
+
+void
+uconn_open_spare(UconnPool *p, Ups *u)
+{
+    Uconn *c = new_conn(p, u);
+
+    if (c != NULL) {
+        c->spare = true;
+    }
+}
+
 Uconn *
 uconn_open(UconnPool *p, Ups *u, bool fresh_only, UconnFn fn, void *ctx)
 {
     Uconn *c = fresh_only ? NULL : take_idle(p, u);
 
     if (c == NULL) {
-        c = g_new0(Uconn, 1);
-        if (!strm_connect(&c->strm, p->loop, (const struct sockaddr *)&u->addr,
-                          UNACKED_MS, on_stream, c)) {
-            g_free(c);
-            return NULL;
-        }
-        c->pool = p;
-        c->u = ups_ref(u);
-        c->link.data = c;
-        c->all_link.data = c;
-        c->queued = g_byte_array_new();
-        h1_init(&c->response, false);
-        g_queue_push_tail_link(&p->all, &c->all_link);
-        u->n_conns++;
-        p->opened++;
+        c = new_conn(p, u);
+    }
+    if (c == NULL) {
+        return NULL;
     }
     c->fn = fn;
     c->ctx = ctx;
@@ -365,10 +418,9 @@
         close_conn(c);
         return;
     }
-    c->idle_until_us = evl_now(c->pool->loop) + keep_alive_us(resp);
+    c->u->keep_us = MAX(keep_alive_us(resp), 1); /* 0: not known */
     h1_next(resp);
-    c->idle = true;
-    g_queue_push_tail_link(&c->u->idle_conns, &c->link);
+    make_idle(c);
 }
 
 void
@@ -381,8 +433,13 @@
 void
 uconns_close_idle(UconnPool *p, Ups *u)
 {
-    (void)p;
-    while (u->idle_conns.head != NULL) {
-        close_conn(u->idle_conns.head->data);
+    GList *next;
+
+    for (GList *l = p->all.head; l != NULL; l = next) {
+        Uconn *c = l->data;
+        next = l->next;
+        if (c->u == u && (c->idle || c->spare)) {
+            close_conn(c);
+        }
     }
 }
--- a/src/uconn.h
+++ b/src/uconn.h
@@ -45,6 +45,10 @@
 Uconn *uconn_open(UconnPool *p, Ups *u, bool fresh_only, UconnFn fn,
                   void *ctx);
 
+/* Opens a connection that becomes idle once it is established, so that a later
+ * request need not wait for one. */
+void uconn_open_spare(UconnPool *p, Ups *u);
+
 /* Writes the request; once per uconn_open(). */
 void uconn_send(Uconn *c, const void *head, size_t n, const void *body,
                 size_t body_n, bool head_request);
@@ -76,7 +80,8 @@
 /* Closes the connection, which also cancels the request. */
 void uconn_cancel(Uconn *c);
 
-/* Closes the idle connections of an upstream. */
+/* Closes the idle connections of an upstream, and the spare ones that are not
+ * established yet. */
 void uconns_close_idle(UconnPool *p, Ups *u);
 
 #endif
--- a/src/ups.c
+++ b/src/ups.c
@@ -169,6 +169,8 @@
     u->lost_streak = 0;
     u->observed = (UpsObservation){0};
     u->used = false;
+    u->sent_us = 0;
+    u->spare_us = 0;
     u->connect_failed_us = 0;
 }
 
--- a/src/ups.h
+++ b/src/ups.h
@@ -79,6 +79,10 @@
                                    is based on; 0: none */
 
     bool used;         /* this VM has sent it a request since its start */
+    int64_t sent_us;   /* last request of this VM; 0: none */
+    int64_t spare_us;  /* last spare connection opened; 0: none */
+    int64_t keep_us;   /* time for which an idle connection may be used, by its
+                          last response; 0: not known */
     GQueue idle_conns; /* idle connections */
     int n_conns;       /* open connections */
 } Ups;
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -298,6 +298,45 @@
 }
 END_TEST
 
+/* Guards against refusing a request while the object's upstream in another
+ * region has a free slot, and against an overflow to an upstream that is busy,
+ * cold or degraded, or lies outside the route's home regions. */
+START_TEST(a_full_region_overflows_to_free_slots)
+{
+    World w;
+    PickReason why;
+    char *homes[] = {"west", NULL};
+
+    world_init(&w, 1);
+    w.route.rank = 3;
+    Ups *own = find(&w, "u1");
+    Ups *other = find(&w, "u0");
+    own->inflight = 5;
+    PickIn in = pick_in(&w, 1);
+    in.region = 1;
+    in.max_rtt_us = S;
+    ck_assert_ptr_null(pick_upstream(&in, NOW, &why));
+    ck_assert_int_eq(why, PICK_CAPPED);
+    in.may_overflow = true;
+    ck_assert_ptr_eq(pick_upstream(&in, NOW, &why), other);
+    ck_assert_int_eq(why, PICK_OVERFLOW);
+    w.route.home_regions = homes;
+    ck_assert_ptr_null(pick_upstream(&in, NOW, &why));
+    ck_assert_int_eq(why, PICK_FULL);
+    w.route.home_regions = NULL;
+    other->inflight = 4;
+    ck_assert_ptr_null(pick_upstream(&in, NOW, &why));
+    other->inflight = 0;
+    other->cold_until_us = NOW + S;
+    ck_assert_ptr_null(pick_upstream(&in, NOW, &why));
+    other->cold_until_us = 0;
+    other->lost_streak = 3;
+    other->lost_at_us = NOW;
+    ck_assert_ptr_null(pick_upstream(&in, NOW, &why));
+    world_clear(&w);
+}
+END_TEST
+
 /* Guards against requests that keep failing at an upstream that is reported
  * healthy, and against avoiding it permanently. */
 START_TEST(a_degraded_upstream_is_replaced)
@@ -514,7 +553,8 @@
        the_plan_spreads_few_objects_evenly, the_plan_does_not_depend_on_order,
        a_lost_upstream_moves_few_objects,
        vms_with_partial_data_agree_on_many_objects,
-       capacity_is_reserved_for_urgent_work, a_degraded_upstream_is_replaced,
+       capacity_is_reserved_for_urgent_work,
+       a_full_region_overflows_to_free_slots, a_degraded_upstream_is_replaced,
        draining_upstreams_get_no_requests,
        missing_entries_are_kept_after_store_failure,
        vms_share_the_rate_of_a_cold_upstream,
--- a/tests/test_uconn.c
+++ b/tests/test_uconn.c
@@ -66,6 +66,15 @@
     f->u = ups_find(f->set, str_of("u-1"));
 }
 
+static void
+teardown(Fixture *f)
+{
+    close(f->listener);
+    uconns_free(f->pool);
+    ups_free(f->set);
+    evl_free(f->loop);
+}
+
 static void
 on_event(void *ctx, UconnEvent ev, int64_t now_us)
 {
@@ -100,12 +109,56 @@
     ck_assert_int_eq(errno, ECONNRESET);
     ck_assert_uint_lt(got, BODY_BYTES);
     close(fd);
-    close(f.listener);
     g_free(body);
-    uconns_free(f.pool);
-    ups_free(f.set);
-    evl_free(f.loop);
+    teardown(&f);
+}
+END_TEST
+
+/* Guards against a request that waits for a new connection although a spare
+ * one was opened, and against bytes that the upstream sent on it before any
+ * request: they must not become the answer. */
+START_TEST(a_spare_connection_serves_the_next_request)
+{
+    Fixture f;
+    UconnEvent ev = UCONN_FLUSHED;
+
+    setup(&f);
+    uconn_open_spare(f.pool, f.u);
+    run_for(&f, RUN_US);
+    ck_assert_uint_eq(f.u->idle_conns.length, 1);
+    Uconn *c = uconn_open(f.pool, f.u, false, on_event, &ev);
+    ck_assert(uconn_connected(c));
+    ck_assert_int_eq((int)uconns_opened(f.pool), 1);
+    uconn_cancel(c);
+    close(accept(f.listener, NULL, NULL));
+    uconn_open_spare(f.pool, f.u);
+    run_for(&f, RUN_US);
+    int fd = accept(f.listener, NULL, NULL);
+    ck_assert_int_eq((int)send(fd, "HTTP/1.1 200 OK\r\n", 17, 0), 17);
+    run_for(&f, RUN_US);
+    ck_assert_uint_eq(f.u->idle_conns.length, 0);
+    ck_assert_int_eq(f.u->n_conns, 0);
+    close(fd);
+    teardown(&f);
+}
+END_TEST
+
+/* Guards against a spare connection to the former address of an upstream that
+ * started again elsewhere. */
+START_TEST(spare_connections_end_with_the_idle_ones)
+{
+    Fixture f;
+
+    setup(&f);
+    uconn_open_spare(f.pool, f.u);
+    uconns_close_idle(f.pool, f.u);
+    ck_assert_int_eq(f.u->n_conns, 0);
+    run_for(&f, RUN_US);
+    ck_assert_uint_eq(f.u->idle_conns.length, 0);
+    teardown(&f);
 }
 END_TEST
 
-T_MAIN("uconn", cancelled_request_is_not_delivered_later)
+T_MAIN("uconn", cancelled_request_is_not_delivered_later,
+       a_spare_connection_serves_the_next_request,
+       spare_connections_end_with_the_idle_ones)
