--- a/src/ctl_cmd.h
+++ b/src/ctl_cmd.h
@@ -18,13 +18,14 @@
 #include "settings.h"
 #include "storehttp.h"
 
-#define CTL_ARGS_MAX 2
+#define CTL_ARGS_MAX VMS_MAX /* "losses" takes a log of each VM */
 
 typedef struct CtlOpts {
     const char *config; /* settings file */
     const char *service;
     const char *client;
     const char *rank;
+    const char *plot;   /* file for a gnuplot script; NULL: none */
     int64_t wait_ms;    /* until a version is in force; 0: do not wait */
     int64_t timeout_ms; /* for all store calls of a command together */
     int64_t base; /* version that must be stored before a change; -1: any */
@@ -88,5 +89,6 @@
 bool ctl_undrain(Ctl *c, Err *e);
 bool ctl_status(Ctl *c, Err *e);
 bool ctl_explain(Ctl *c, Err *e);
+bool ctl_losses(Ctl *c, Err *e);
 
 #endif
--- a/src/ctl_main.c
+++ b/src/ctl_main.c
@@ -12,9 +12,11 @@
 #define TIMEOUT_MS 10000 /* default of --timeout */
 #define WAIT_S_MAX 3600  /* maximum of --wait and --timeout */
 
+#define ARGS_SOME (-1)
+
 typedef struct Command {
     const char *name;
-    int n_args;
+    int n_args;       /* ARGS_SOME: one or more */
     bool needs_store; /* reads the settings and calls the store */
     bool (*run)(Ctl *c, Err *e);
     const char *help;
@@ -31,6 +33,8 @@
      "undrain target|zone|region NAME [--wait SECONDS]"},
     {"explain", 0, true, ctl_explain,
      "explain --service NAME --client IP [--rank NAME]"},
+    {"losses", ARGS_SOME, false, ctl_losses,
+     "losses LOG_OF_A_VM... [--plot FILE]"},
 };
 
 static const struct option long_opts[] = {
@@ -41,6 +45,7 @@
     {"service", required_argument, NULL, 's'},
     {"client", required_argument, NULL, 'i'},
     {"rank", required_argument, NULL, 'r'},
+    {"plot", required_argument, NULL, 'p'},
     {"help", no_argument, NULL, 'h'},
     {"version", no_argument, NULL, 'v'},
     {0},
@@ -97,6 +102,9 @@
     case 'r':
         o->rank = arg;
         return true;
+    case 'p':
+        o->plot = arg;
+        return true;
     case 'w':
         return read_number("wait", arg, WAIT_S_MAX, 1000, &o->wait_ms, e);
     case 't':
@@ -131,7 +139,8 @@
             continue;
         }
         o->n_args = argc - optind - 1;
-        if (o->n_args != k->n_args) {
+        if (k->n_args == ARGS_SOME ? o->n_args < 1 || o->n_args > CTL_ARGS_MAX
+                                   : o->n_args != k->n_args) {
             err_set(e, ERR_USAGE,
                     "%s: found %d arguments; allowed: %s; correct the command",
                     name, o->n_args, k->help);
@@ -144,7 +153,7 @@
     }
     err_set(e, ERR_USAGE,
             "command: found \"%.60s\"; allowed: check, diff, apply, status, "
-            "drain, undrain, explain; see \"mimosactl --help\"",
+            "drain, undrain, explain, losses; see \"mimosactl --help\"",
             name);
     return NULL;
 }
--- a/src/dlog.c
+++ b/src/dlog.c
@@ -20,6 +20,7 @@
     GString *buf;
     Bucket urgent;
     Bucket routine;
+    int unlogged[2]; /* requests since the last line: routine, urgent */
     int64_t dropped;
     int64_t reported; /* value of "dropped" that was logged last */
 };
@@ -73,18 +74,22 @@
     va_end(ap);
 }
 
-bool
+int
 dlog_admit(Dlog *d, bool urgent, int64_t now_us)
 {
+    int *unlogged = &d->unlogged[urgent ? 1 : 0];
     double rate = d->o.request_lines_per_s;
     double part = urgent ? URGENT_PART : 1 - URGENT_PART;
     Bucket *b = urgent ? &d->urgent : &d->routine;
 
     if (bucket_take(b, rate * part, MAX(rate * part, 1), now_us)) {
-        return true;
+        int n = 1 + *unlogged;
+        *unlogged = 0;
+        return n;
     }
     d->dropped++;
-    return false;
+    (*unlogged)++;
+    return 0;
 }
 
 static bool
--- a/src/dlog.h
+++ b/src/dlog.h
@@ -34,10 +34,11 @@
 void dlog_event(Dlog *d, DlogLevel level, const char *part, const char *fmt,
                 ...) G_GNUC_PRINTF(4, 5);
 
-/* Returns true when a line about a request may be written now; else counts it
- * as dropped.  urgent: the line reports a failure; a part of the rate is
- * reserved for failures. */
-bool dlog_admit(Dlog *d, bool urgent, int64_t now_us);
+/* Returns 0 when a line about a request may not be written now, and counts it
+ * as dropped; else the number of requests that the line stands for: itself and
+ * those dropped since the last line of its kind.  urgent: the line reports a
+ * failure; a part of the rate is reserved for failures. */
+int dlog_admit(Dlog *d, bool urgent, int64_t now_us);
 
 /* Writes lines while the descriptor is writable; called from a timer. */
 void dlog_flush(Dlog *d);
--- a/src/px.c
+++ b/src/px.c
@@ -144,6 +144,12 @@
 
     if (p->table == NULL) {
         p->counts[PX_UNROUTED]++;
+        int lines = dlog_admit(p->o.log, true, now_us);
+        if (lines > 0) {
+            dlog_event(p->o.log, DLOG_INFO, "request",
+                       "id=%.*s event=no_view status=503 requests=%d",
+                       (int)id.n, id.p, lines);
+        }
         caller_respond_text(c, 503, "no_configuration_yet",
                             RETRY_NO_ROUTES_US);
         return;
