--- a/src/split.c
+++ b/src/split.c
@@ -7,27 +7,45 @@
 
 #include <glib.h>
 
-/* Fraction of the slots that is planned; the rest absorbs variation within a
- * second and the uneven distribution of objects. */
+/* Fraction of a region's slots up to which it serves all of its own requests;
+ * the rest absorbs variation within a second and the uneven distribution of
+ * objects. */
 #define PLANNED_UTILISATION 0.55
 
+/* Returns the fraction of the slots that is planned: more when all regions
+ * together need more, so that none is loaded more than the others. */
+static double
+planned_utilisation(const SplitIn *in)
+{
+    double demand = 0;
+    double capacity = 0;
+
+    for (int r = 0; r < in->n; r++) {
+        demand += in->demand[r];
+        capacity += in->capacity[r];
+    }
+    double overall = capacity > 0 ? demand / capacity : 0;
+    return fmin(1, fmax(PLANNED_UTILISATION, overall));
+}
+
 /* Computes the target rows: the own region first, the excess in proportion to
  * the spare capacity of the regions. */
 static void
-target_rows(const SplitIn *in, double out[REGIONS_MAX][REGIONS_MAX])
+target_rows(const SplitIn *in, double planned,
+            double out[REGIONS_MAX][REGIONS_MAX])
 {
     double spare[REGIONS_MAX];
     double spare_sum = 0;
     double cap_sum = 0;
 
     for (int r = 0; r < in->n; r++) {
-        double usable = in->capacity[r] * PLANNED_UTILISATION;
+        double usable = in->capacity[r] * planned;
         spare[r] = fmax(0, usable - in->demand[r]);
         spare_sum += spare[r];
         cap_sum += in->capacity[r];
     }
     for (int f = 0; f < in->n; f++) {
-        double usable = in->capacity[f] * PLANNED_UTILISATION;
+        double usable = in->capacity[f] * planned;
         double keep = in->demand[f] > usable ? usable / in->demand[f] : 1;
         double over = 1 - keep;
         if (in->capacity[f] <= 0) {
@@ -54,13 +72,14 @@
  * that does not fit stays in its own region: moving it would only add latency.
  */
 static void
-keep_excess(const SplitIn *in, double out[REGIONS_MAX][REGIONS_MAX])
+keep_excess(const SplitIn *in, double planned,
+            double out[REGIONS_MAX][REGIONS_MAX])
 {
     double need = 0;
     double spare = 0;
 
     for (int r = 0; r < in->n; r++) {
-        double usable = in->capacity[r] * PLANNED_UTILISATION;
+        double usable = in->capacity[r] * planned;
         if (in->capacity[r] > 0) {
             need += fmax(0, in->demand[r] - usable);
         }
@@ -120,8 +139,9 @@
     double to[REGIONS_MAX][REGIONS_MAX] = {{0}};
     double max_move = (double)(now_us - s->at_us) / 1e6 * in->max_shift_per_s;
 
-    target_rows(in, to);
-    keep_excess(in, to);
+    double planned = planned_utilisation(in);
+    target_rows(in, planned, to);
+    keep_excess(in, planned, to);
     if (s->at_us == 0 || s->n != in->n || in->unused) {
         memcpy(s->share, to, sizeof(to));
     }
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -486,6 +486,8 @@
         }
     }
     ck_assert(s.share[1][1] < 0.3);
+    /* 140 of 220 slots: the small region is loaded no more than the others. */
+    ck_assert(s.share[1][1] * 80 / 20 < 0.66);
     in.capacity[1] = 0;
     split_step(&s, &in, NOW + 21 * S);
     ck_assert(s.share[1][1] < 1e-9);
