--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -406,6 +406,7 @@
     r->new_conn = !uconn_connected(r->conn);
     u->inflight++;
     u->used = true;
+    u->sent_before_us = u->sent_us;
     u->sent_us = now_us;
     GString *head =
         pxhead_request(r->head, p->o.names, u->id, MAX(left_ms, 1));
--- a/src/spare.c
+++ b/src/spare.c
@@ -7,8 +7,9 @@
 #define MIN_RTT_US 40000
 /* Share of the requests that a region has to get for first connections. */
 #define MIN_SHARE 0.02
-/* An upstream without requests for this time gets no further connection. */
-#define USED_WITHIN_US 5000000
+/* Only an upstream that got two requests within this time gets further spare
+ * connections: others would mostly expire unused. */
+#define USED_TWICE_WITHIN_US 5000000
 #define OPEN_INTERVAL_US                                                      \
     500000 /* between spare connections of an upstream                        \
             */
@@ -28,8 +29,8 @@
         return u->region < split->n &&
                split->share[in->region][u->region] >= MIN_SHARE;
     }
-    return now_us - u->spare_us >= OPEN_INTERVAL_US && u->sent_us > 0 &&
-           now_us - u->sent_us < USED_WITHIN_US;
+    return now_us - u->spare_us >= OPEN_INTERVAL_US && u->sent_before_us > 0 &&
+           now_us - u->sent_before_us < USED_TWICE_WITHIN_US;
 }
 
 void
--- a/src/spare.h
+++ b/src/spare.h
@@ -29,8 +29,8 @@
 typedef void (*SpareFn)(void *ctx, Ups *u);
 
 /* Calls open for each upstream to which a spare connection has to be opened
- * now: it has no idle connection, and it was used recently or is about to be
- * used for the first time. */
+ * now: it has no idle connection, and it is used often or is about to be used
+ * for the first time. */
 void spare_step(const SpareIn *in, SpareFn open, void *ctx, int64_t now_us);
 
 #endif
--- a/src/ups.c
+++ b/src/ups.c
@@ -170,6 +170,7 @@
     u->observed = (UpsObservation){0};
     u->used = false;
     u->sent_us = 0;
+    u->sent_before_us = 0;
     u->spare_us = 0;
     u->connect_failed_us = 0;
 }
--- a/src/ups.h
+++ b/src/ups.h
@@ -78,9 +78,10 @@
     uint32_t cold_list_version; /* version of the list of VMs that may_use_cold
                                    is based on; 0: none */
 
-    bool used;         /* this VM has sent it a request since its start */
-    int64_t sent_us;   /* last request of this VM; 0: none */
-    int64_t spare_us;  /* last spare connection opened; 0: none */
+    bool used;              /* this VM has sent it a request since its start */
+    int64_t sent_us;        /* last request of this VM; 0: none */
+    int64_t sent_before_us; /* the request before that; 0: none */
+    int64_t spare_us;       /* last spare connection opened; 0: none */
     int64_t keep_us;   /* time for which an idle connection may be used, by its
                           last response; 0: not known */
     GQueue idle_conns; /* idle connections */
--- a/tests/test_spare.c
+++ b/tests/test_spare.c
@@ -100,6 +100,8 @@
     setup(&f);
     step(&f, NOW);
     f.away->sent_us = NOW + S;
+    ck_assert_int_eq(step(&f, NOW + S), 0);
+    f.away->sent_before_us = NOW + S;
     ck_assert_int_eq(step(&f, NOW + S), 1);
     ck_assert_int_eq(step(&f, NOW + S + 100 * MS), 0);
     ck_assert_int_eq(step(&f, NOW + 2 * S), 1);
