--- a/src/losses.c
+++ b/src/losses.c
@@ -4,20 +4,26 @@
 #include <inttypes.h>
 #include <string.h>
 
+#include "limits.h"
+
 /* Ratio of the time at an upstream to the usual one above which the upstream
  * is slow or did not have the object in its cache. */
 #define SLOW_FACTOR 2
-#define KEY_TEXT_BYTES 256
-
-typedef struct Cell {
-    char *name; /* "REGION SERVICE RANK REASON" or "SECOND REASON" */
+#define REASON_BYTES 64
+#define ROW_BYTES 256
+
+/* Lost requests of a row of a table. */
+typedef struct Row {
+    char *name;     /* first columns of the table, which also order it */
+    int64_t second; /* wall time; 0 in the table without seconds */
+    char *reason;
     int64_t requests;
-} Cell;
+} Row;
 
 struct Losses {
-    char region[64];
-    GHashTable *groups;  /* name -> Cell */
-    GHashTable *seconds; /* name -> Cell */
+    char region[NAME_BYTES]; /* of the VM whose log is read */
+    GHashTable *groups;  /* name -> Row: by region, service, rank, reason */
+    GHashTable *seconds; /* name -> Row: by second and reason */
     int64_t first_s;     /* wall time of the first request; 0: none */
     int64_t requests;
     int64_t lost;
@@ -27,12 +33,13 @@
 };
 
 static void
-cell_free(gpointer p)
+row_free(gpointer p)
 {
-    Cell *c = p;
+    Row *r = p;
 
-    g_free(c->name);
-    g_free(c);
+    g_free(r->name);
+    g_free(r->reason);
+    g_free(r);
 }
 
 Losses *
@@ -40,10 +47,9 @@
 {
     Losses *l = g_new0(Losses, 1);
 
-    l->groups =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cell_free);
+    l->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_free);
     l->seconds =
-        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, cell_free);
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, row_free);
     losses_next_vm(l);
     return l;
 }
@@ -64,16 +70,19 @@
 }
 
 static void
-count(GHashTable *cells, const char *name, int64_t requests)
+count(GHashTable *rows, const char *name, int64_t second, const char *reason,
+      int64_t requests)
 {
-    Cell *c = g_hash_table_lookup(cells, name);
-
-    if (c == NULL) {
-        c = g_new0(Cell, 1);
-        c->name = g_strdup(name);
-        g_hash_table_insert(cells, c->name, c);
+    Row *r = g_hash_table_lookup(rows, name);
+
+    if (r == NULL) {
+        r = g_new0(Row, 1);
+        r->name = g_strdup(name);
+        r->second = second;
+        r->reason = g_strdup(reason);
+        g_hash_table_insert(rows, r->name, r);
     }
-    c->requests += requests;
+    r->requests += requests;
 }
 
 /* Returns the value of a field, empty if the line has none.  key: " NAME=". */
@@ -164,8 +173,8 @@
 static void
 add_request(Losses *l, Str line, int64_t time_s)
 {
-    char name[KEY_TEXT_BYTES];
-    char text[64];
+    char name[ROW_BYTES];
+    char text[REASON_BYTES];
     Str service = field(line, " service=");
     int64_t requests = number(line, " requests=");
     const char *reason = reason_of(line, text, sizeof(text));
@@ -184,9 +193,9 @@
                l->region, service.n == 0 ? 1 : (int)service.n,
                service.n == 0 ? "-" : service.p, number(line, " rank="),
                reason);
-    count(l->groups, name, requests);
-    g_snprintf(name, sizeof(name), "%10" PRId64 " %-26s", time_s, reason);
-    count(l->seconds, name, requests);
+    count(l->groups, name, 0, reason, requests);
+    g_snprintf(name, sizeof(name), "%020" PRId64 " %s", time_s, reason);
+    count(l->seconds, name, time_s, reason, requests);
 }
 
 void
@@ -220,14 +229,14 @@
 static gint
 by_name(gconstpointer a, gconstpointer b)
 {
-    return strcmp(((const Cell *)a)->name, ((const Cell *)b)->name);
+    return strcmp(((const Row *)a)->name, ((const Row *)b)->name);
 }
 
 static gint
 by_requests(gconstpointer a, gconstpointer b)
 {
-    int64_t x = ((const Cell *)a)->requests;
-    int64_t y = ((const Cell *)b)->requests;
+    int64_t x = ((const Row *)a)->requests;
+    int64_t y = ((const Row *)b)->requests;
 
     return x == y ? by_name(a, b) : (x > y ? -1 : 1);
 }
@@ -247,63 +256,64 @@
     g_string_append_printf(out, "%-12s %-16s %4s %-26s requests\n", "region",
                            "service", "rank", "reason");
     for (GList *i = groups; i != NULL; i = i->next) {
-        const Cell *c = i->data;
-        g_string_append_printf(out, "%s %8" PRId64 "\n", c->name, c->requests);
+        const Row *r = i->data;
+        g_string_append_printf(out, "%s %8" PRId64 "\n", r->name, r->requests);
     }
     g_string_append_printf(out, "\n%10s %-26s requests\n", "second", "reason");
     for (GList *i = seconds; i != NULL; i = i->next) {
-        const Cell *c = i->data;
-        int64_t second = g_ascii_strtoll(c->name, NULL, 10) - l->first_s;
-        g_string_append_printf(out, "%10" PRId64 "%s %8" PRId64 "\n", second,
-                               c->name + 10, c->requests);
+        const Row *r = i->data;
+        g_string_append_printf(out, "%10" PRId64 " %-26s %8" PRId64 "\n",
+                               r->second - l->first_s, r->reason, r->requests);
     }
-    g_string_append_printf(
-        out,
-        "\n%" PRId64 " of %" PRId64
-        " requests were not served in time; %" PRId64
-        " of them stand in lines that were dropped, under the reason of the "
-        "next line of their kind; %" PRId64 " lines are unreadable%s%s\n",
-        l->lost, l->requests, l->dropped, l->unreadable,
-        l->unreadable > 0 ? ", first: " : "",
-        l->unreadable > 0 ? l->unreadable_line : "");
+    g_string_append_printf(out,
+                           "\n%" PRId64 " of %" PRId64
+                           " requests were not served in time\n"
+                           "%" PRId64 " lines were dropped; their requests "
+                           "count under the next line of their kind\n"
+                           "%" PRId64 " lines are unreadable%s%s\n",
+                           l->lost, l->requests, l->dropped, l->unreadable,
+                           l->unreadable > 0 ? ", first: " : "",
+                           l->unreadable > 0 ? l->unreadable_line : "");
     g_list_free(groups);
     g_list_free(seconds);
 }
 
-/* The reason in the name of a cell of a second. */
-static char *
-reason_in(const char *name)
+/* Returns the names of all reasons, sorted; the caller frees the list only. */
+static GList *
+reasons_of(const Losses *l)
 {
-    return g_strchomp(g_strdup(name + 11));
+    GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter it;
+    gpointer row;
+
+    g_hash_table_iter_init(&it, l->seconds);
+    while (g_hash_table_iter_next(&it, NULL, &row)) {
+        g_hash_table_add(names, ((Row *)row)->reason);
+    }
+    GList *list =
+        g_list_sort(g_hash_table_get_keys(names), (GCompareFunc)strcmp);
+    g_hash_table_destroy(names);
+    return list;
 }
 
 void
 losses_plot(const Losses *l, GString *out)
 {
     GList *seconds = sorted(l->seconds, by_name);
-    GHashTable *reasons =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GList *reasons = reasons_of(l);
     const char *separator = "plot";
 
-    for (GList *i = seconds; i != NULL; i = i->next) {
-        g_hash_table_add(reasons, reason_in(((const Cell *)i->data)->name));
-    }
-    GList *names =
-        g_list_sort(g_hash_table_get_keys(reasons), (GCompareFunc)strcmp);
     g_string_append(out, "set title 'Requests not served in time'\n"
                          "set xlabel 'second'; set ylabel 'requests'\n"
                          "set key outside; set grid\n"
                          "$losses << END\n");
     for (GList *i = seconds; i != NULL; i = i->next) {
-        const Cell *c = i->data;
-        char *reason = reason_in(c->name);
+        const Row *r = i->data;
         g_string_append_printf(out, "%" PRId64 " %s %" PRId64 "\n",
-                               g_ascii_strtoll(c->name, NULL, 10) - l->first_s,
-                               reason, c->requests);
-        g_free(reason);
+                               r->second - l->first_s, r->reason, r->requests);
     }
     g_string_append(out, "END\n");
-    for (GList *i = names; i != NULL; i = i->next) {
+    for (GList *i = reasons; i != NULL; i = i->next) {
         g_string_append_printf(
             out,
             "%s $losses using 1:(strcol(2) eq '%s' ? $3 : NaN) with "
@@ -311,8 +321,7 @@
             separator, (char *)i->data, (char *)i->data);
         separator = ", \\\n    ";
     }
-    g_string_append(out, names == NULL ? "" : "\n");
-    g_list_free(names);
+    g_string_append(out, reasons == NULL ? "" : "\n");
+    g_list_free(reasons);
     g_list_free(seconds);
-    g_hash_table_destroy(reasons);
 }
