--- a/tests/test_regions.c
+++ b/tests/test_regions.c
@@ -248,7 +248,7 @@
     static const char *const zones[REGIONS] = {"a", "b", "c"};
 
     for (int i = 0; i < n; i++) {
-        char id[16];
+        char id[32];
         snprintf(id, sizeof(id), "u%d-%d", r, i);
         if (ups_find(p->set, str_of(id)) != NULL) {
             continue;
