--- a/src/pick.c
+++ b/src/pick.c
@@ -19,7 +19,7 @@
  * 110 ms apart shared all objects; when traffic ended, requests in transit
  * between regions finished after all others, and the cap on shifts was
  * exceeded. */
-#define NEAR_RTT_FRACTION 0.10
+#define NEAR_RTT_FRACTION 0.13
 
 /* Requests admitted beyond fill_limit at each upstream; it matters for those
  * with few slots. */
--- a/src/spare.c
+++ b/src/spare.c
@@ -10,6 +10,9 @@
 /* Only an upstream that got two requests within this time gets further spare
  * connections: others would mostly expire unused. */
 #define USED_TWICE_WITHIN_US 5000000
+/* In a larger fleet each VM uses most upstreams too rarely for first
+ * connections, whose number is that of the VMs times that of the upstreams. */
+#define FIRST_VMS_MAX 100
 #define OPEN_INTERVAL_US                                                      \
     500000 /* between spare connections of an upstream                        \
             */
@@ -25,7 +28,7 @@
         ups_cold(in->set, u, in->service->warmup_us, now_us)) {
         return false;
     }
-    if (u->spare_us == 0) {
+    if (u->spare_us == 0 && in->n_vms <= FIRST_VMS_MAX) {
         return u->region < split->n &&
                split->share[in->region][u->region] >= MIN_SHARE;
     }
