--- a/tests/test_spare.c
+++ b/tests/test_spare.c
@@ -49,6 +49,7 @@
                              .max_conns = 100,
                              .warmup_us = 3 * S};
     f->demand.used = true;
+    f->demand.rate = 10;
     f->demand.split.n = 2;
     f->demand.split.share[0][0] = 0.7;
     f->demand.split.share[0][1] = 0.3;
@@ -122,6 +123,9 @@
     f.demand.split.share[0][1] = 0;
     ck_assert_int_eq(step(&f, NOW), 0);
     f.demand.split.share[0][1] = 0.3;
+    f.demand.rate = 0.1; /* 0.15 requests while a connection is idle */
+    ck_assert_int_eq(step(&f, NOW), 0);
+    f.demand.rate = 10;
     f.in.max_rtt_us = 24 * MS;
     ck_assert_int_eq(step(&f, NOW), 0);
     f.in.max_rtt_us = 110 * MS;
