--- a/src/mirror.c
+++ b/src/mirror.c
@@ -90,6 +90,10 @@
     f->failed_us = now_us;
     f->missed = false;
     f->backoff_us = CLAMP(f->backoff_us * 2, BACKOFF_MIN_US, BACKOFF_MAX_US);
+    dlog_event(f->m->o.log, DLOG_INFO, "store",
+               "event=call_failed prefix=%s call=%s status=%d "
+               "backoff_ms=%" G_GINT64_FORMAT,
+               f->prefix, what, status, f->backoff_us / 1000);
     feed_schedule(f, f->backoff_us);
 }
 
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -1,6 +1,7 @@
 /* pxtry - attempts of a request at upstreams.  See pxtry.h. */
 #include "pxtry.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 /* Limit for a new connection, which takes one round trip: about 110 ms between
@@ -35,6 +36,21 @@
            demand_may_overflow(r->demand, now_us);
 }
 
+/* A cold upstream gets a few requests per second from all VMs together, so a
+ * line for each of them is affordable. */
+static void
+log_cold_use(const Req *r, const Ups *u, int64_t now_us)
+{
+    const Px *p = r->p;
+
+    if (ups_cold(p->o.upstreams, u, r->service->warmup_us, now_us)) {
+        dlog_event(p->o.log, DLOG_INFO, "upstream",
+                   "id=%s event=cold_use vms=%d self=%d cold_ms=%" PRId64,
+                   u->id, p->n_vms, p->self,
+                   (u->cold_until_us - now_us) / 1000);
+    }
+}
+
 Ups *
 pxtry_pick(Req *r, int64_t now_us)
 {
@@ -63,6 +79,9 @@
     if (r->why == PICK_OVERFLOW) {
         demand_overflowed(r->demand, now_us);
     }
+    if (u != NULL) {
+        log_cold_use(r, u, now_us);
+    }
     return u;
 }
 
--- a/src/registration.c
+++ b/src/registration.c
@@ -30,6 +30,15 @@
             evl_now(r->o.loop) + (int64_t)((double)us * jitter));
 }
 
+static void
+call_failed(Registration *r, const char *what, int status)
+{
+    dlog_event(r->o.log, DLOG_INFO, "store",
+               "event=call_failed key=%s call=%s status=%d", r->key, what,
+               status);
+    schedule_call(r, RETRY_US);
+}
+
 static void
 on_put(void *ctx, int status, Str body, int64_t now_us)
 {
@@ -45,7 +54,7 @@
     if (status == 404) { /* the lease has ended */
         r->lease = 0;
     }
-    schedule_call(r, RETRY_US);
+    call_failed(r, "put", status);
 }
 
 static void
@@ -62,7 +71,7 @@
         next_call(r);
         return;
     }
-    schedule_call(r, RETRY_US);
+    call_failed(r, "lease", status);
 }
 
 static void
@@ -78,7 +87,11 @@
         next_call(r);
         return;
     }
-    schedule_call(r, status == 200 ? LEASE_KEEP_US : RETRY_US);
+    if (status == 200) {
+        schedule_call(r, LEASE_KEEP_US);
+        return;
+    }
+    call_failed(r, "renew", status);
 }
 
 /* Starts the next call: for a lease, the entry or a renewal. */
