--- a/src/demand.c
+++ b/src/demand.c
@@ -67,10 +67,11 @@
     return s;
 }
 
+/* Returns this VM's part of the retries that are allowed beyond the ratio. */
 static double
 retry_burst(const Demand *d, int n_vms)
 {
-    return fmax(1, d->o.retry_slack * RETRY_FRACTION / MAX(n_vms, 1));
+    return n_vms <= 0 ? 1 : fmax(1, d->o.retry_slack * RETRY_FRACTION / n_vms);
 }
 
 void
--- a/src/demand.h
+++ b/src/demand.h
@@ -48,7 +48,8 @@
 /* Returns the entry of a service, which is created if needed (borrowed). */
 DemandService *demand_service(Demand *d, uint64_t id);
 
-/* Counts a request, which adds to the retry budget. */
+/* Counts a request, which adds to the retry budget.  n_vms: that share the
+ * budget; 0: not known, which gives the smallest part. */
 void demand_arrived(Demand *d, DemandService *s, int n_vms);
 
 /* Counts a request that is sent to an upstream, which adds to the share that
--- a/src/edge.c
+++ b/src/edge.c
@@ -26,6 +26,10 @@
 #define GONE_GRACE_US 2000000
 /* Subtracted from the drain time, as a watch reports changes with a delay. */
 #define GONE_MARGIN_US 400000
+/* A VM that left the list keeps its shares of limits for the time in which
+ * this number of changes, one after the other, reaches all VMs: the loss of
+ * its entry, and the entry that it writes again. */
+#define SHARE_HOLD_CHANGES 2
 #define SHIFT_WINDOW_S 2.0 /* the window of max_shift */
 /* Parts of max_shift: for the movement of shares within a window, and for the
  * share of requests that overflows.  An overflow may begin and end within a
@@ -65,17 +69,31 @@
 }
 
 static void
-update_pick_vms(void *ctx)
+update_sharers(void *ctx)
 {
     Edge *g = ctx;
-
-    g_array_set_size(g->pick_vms, 0);
-    for (int i = 0; i < vml_count(g->vms); i++) {
-        PickVm v = {vml_at(g->vms, i)->key, vml_at(g->vms, i)->region};
-        g_array_append_val(g->pick_vms, v);
+    int n = vml_count(g->vms);
+    bool had_share = sharers_self(g->sharers) >= 0;
+    PickVm *listed = g_new(PickVm, n);
+    int64_t valid_until_us =
+        g->mirror == NULL ? 0 : mirror_registered_until(g->mirror);
+
+    for (int i = 0; i < n; i++) {
+        listed[i] =
+            (PickVm){vml_at(g->vms, i)->key, vml_at(g->vms, i)->region};
     }
-    px_set_vms(g->px, (const PickVm *)(void *)g->pick_vms->data,
-               (int)g->pick_vms->len, vml_index(g->vms, g->set.vm_id));
+    if (sharers_update(g->sharers, listed, n, g->view_complete, valid_until_us,
+                       evl_boottime())) {
+        const PickVm *vms;
+        int n_vms = sharers_list(g->sharers, &vms);
+        int self = sharers_self(g->sharers);
+        px_set_vms(g->px, vms, n_vms, self);
+        if (had_share != (self >= 0)) {
+            dlog_event(g->log, DLOG_INFO, "vm", "event=%s vms=%d",
+                       had_share ? "share_ended" : "share_began", n_vms);
+        }
+    }
+    g_free(listed);
 }
 
 static void
@@ -104,6 +122,7 @@
     (void)now_us;
 
     g->view_complete = true;
+    update_sharers(g);
     dlog_event(g->log, DLOG_INFO, "store", "event=view_complete vms=%d",
                vml_count(g->vms));
 }
@@ -221,12 +240,13 @@
 
     for (int i = 0; t != NULL && i < rt_n_services(t); i++) {
         const RtService *s = rt_service(t, i);
+        const PickVm *vms;
         SpareIn in = {
             .set = g->upstreams,
             .service = s,
             .demand = demand_service(g->demand, s->id),
             .region = g->set.topology.region_of[g->set.zone],
-            .n_vms = vml_count(g->vms),
+            .n_vms = sharers_list(g->sharers, &vms),
             .max_rtt_us = vml_max_rtt_us(g->vms),
         };
         spare_step(&in, open_spare, g, now_us);
@@ -246,6 +266,7 @@
     if (gone > 0) {
         dlog_event(g->log, DLOG_INFO, "upstream", "event=gone count=%d", gone);
     }
+    update_sharers(g);
     px_set_max_rtt(g->px, vml_max_rtt_us(g->vms));
     demand_step(g->demand, g->upstreams, by_region, now_us);
     plan_step(g->plan, g->upstreams, now_us);
@@ -290,7 +311,13 @@
     g->rnd = g_rand_new_with_seed(
         (guint32)hash_str(str_of(g->set.vm_id), g->boot_ms));
     g->vms = vml_new(topo);
-    g->pick_vms = g_array_new(FALSE, FALSE, sizeof(PickVm));
+    g->propagation_us = MIN(g->set.drain_us, g->set.config_us);
+    SharersOpts so = {
+        .self = hash_str(str_of(g->set.vm_id), 0),
+        .settle_us = g->propagation_us,
+        .hold_us = g->propagation_us * SHARE_HOLD_CHANGES,
+    };
+    g->sharers = sharers_new(&so);
     g->upstreams =
         ups_new(topo, MIN(GONE_GRACE_US, g->set.drain_us - GONE_MARGIN_US));
     g->pool = uconns_new(g->loop);
@@ -326,7 +353,7 @@
         .upstreams = g->upstreams,
         .pool = g->pool,
         .vms = g->vms,
-        .fns = {on_routes, update_pick_vms},
+        .fns = {on_routes, update_sharers},
         .ctx = g,
     };
     g->view = view_new(&vo);
@@ -364,7 +391,7 @@
         .prefixes = pf_prefixes,
         .urgent = pf_operator_prefix,
         .rnd = g->rnd,
-        .propagation_us = MIN(g->set.drain_us, g->set.config_us),
+        .propagation_us = g->propagation_us,
         .fns = {on_item, on_view_complete, on_view_current, on_store_failure,
                 on_announce},
         .ctx = g,
@@ -430,7 +457,7 @@
     plan_free(g->plan);
     demand_free(g->demand);
     ups_free(g->upstreams);
-    g_array_free(g->pick_vms, TRUE);
+    sharers_free(g->sharers);
     vml_free(g->vms);
     g_rand_free(g->rnd);
     dlog_free(g->log);
--- a/src/edge_state.h
+++ b/src/edge_state.h
@@ -14,6 +14,7 @@
 #include "dlog.h"
 #include "mirror.h"
 #include "px.h"
+#include "sharers.h"
 #include "uconn.h"
 #include "view.h"
 #include "vml.h"
@@ -31,7 +32,7 @@
     Plan *plan;
     Crashes *crashes;
     Vml *vms;
-    GArray *pick_vms; /* PickVm, one for each VM in vms */
+    Sharers *sharers;
     View *view;
     Peer *peer;
     Heartbeats *heartbeats;
@@ -43,6 +44,7 @@
     CallerSet *metrics;
     EvlTimer tick;
     uint64_t boot_ms;
+    int64_t propagation_us; /* longest time for a change to reach all VMs */
     bool view_complete;
     bool shutting_down;
     int64_t shutdown_us;
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -489,6 +489,12 @@
     registration_set(m->registration, key, value);
 }
 
+int64_t
+mirror_registered_until(const Mirror *m)
+{
+    return registration_valid_until(m->registration);
+}
+
 Mirror *
 mirror_new(const MirrorOpts *o)
 {
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -61,6 +61,10 @@
 /* Sets this VM's own entry; it is written again when it changes or is lost. */
 void mirror_register(Mirror *m, const char *key, const char *value);
 
+/* Time, on the clock of evl_boottime(), until which the own entry stays in the
+ * store even if no further call arrives there; 0: it is not there. */
+int64_t mirror_registered_until(const Mirror *m);
+
 /* Asks the store at once, for a VM that was suspended; MirrorFns.current is
  * called when all prefixes are confirmed. */
 void mirror_revalidate(Mirror *m);
--- a/src/pick.c
+++ b/src/pick.c
@@ -83,8 +83,8 @@
 static bool
 cold_allowed(const PickIn *in, Ups *u)
 {
-    if (in->n_vms <= in->cold_vms_max) {
-        return true;
+    if (in->self < 0 || in->n_vms <= in->cold_vms_max) {
+        return in->self >= 0;
     }
     if (in->vms_version == 0 || u->cold_list_version != in->vms_version) {
         u->may_use_cold = is_cold_user(in, u);
@@ -98,7 +98,7 @@
 static double
 cold_rate(const PickIn *in)
 {
-    int n = MIN(MAX(in->n_vms, 1), in->cold_vms_max);
+    int n = MIN(in->n_vms, in->cold_vms_max);
 
     return in->service->cold_per_s * COLD_FRACTION / n;
 }
@@ -106,9 +106,10 @@
 int
 pick_max_conns(const RtService *s, int n_vms)
 {
-    int share = (int)(s->max_conns * CONNS_FRACTION / MAX(n_vms, 1));
-
-    return MAX(share, CONNS_MIN);
+    if (n_vms <= 0) {
+        return CONNS_MIN;
+    }
+    return MAX((int)(s->max_conns * CONNS_FRACTION / n_vms), CONNS_MIN);
 }
 
 static bool
--- a/src/pick.h
+++ b/src/pick.h
@@ -59,11 +59,12 @@
     const Split *split; /* NULL: the caller's region if usable */
     const RtRoute *route;
     const RtService *service;
-    uint64_t object; /* hash of the affinity key, or of the attempt id */
-    int region;      /* of the entry VM that the caller uses */
-    const PickVm *vms;
-    int n_vms;
-    int self;             /* index in vms */
+    uint64_t object;      /* hash of the affinity key, or of the attempt id */
+    int region;           /* of the entry VM that the caller uses */
+    const PickVm *vms;    /* that share limits, see sharers.h */
+    int n_vms;            /* 0: not known */
+    int self;             /* index in vms; -1: this VM takes no share of the
+                             rate of cold upstreams */
     uint32_t vms_version; /* version of vms and self; 0: unknown */
     bool may_overflow;    /* the request may leave the chosen region when its
                              upstream there is full */
@@ -84,7 +85,8 @@
  * that a cold upstream is preferable. */
 bool pick_is_degraded(const Ups *u, int64_t now_us);
 
-/* Maximum number of connections of this VM to one upstream. */
+/* Maximum number of connections of this VM to one upstream: its part of those
+ * of all VMs.  n_vms 0: not known, which gives the smallest part. */
 int pick_max_conns(const RtService *s, int n_vms);
 
 const char *pick_reason_name(PickReason w);
--- a/src/registration.c
+++ b/src/registration.c
@@ -16,6 +16,11 @@
     char *value;
     bool written;   /* the value is in the store */
     uint64_t lease; /* 0: none */
+    int64_t ttl_us; /* of the lease */
+    /* Start of the last call, and of the last one that began or renewed the
+     * lease; of the clock of evl_boottime(). */
+    int64_t called_us;
+    int64_t renewed_us;
     int64_t calls;
 };
 
@@ -67,6 +72,8 @@
 
     if (status == 200 && r->o.codec->read_lease(body, &l, &e)) {
         r->lease = l.id;
+        r->ttl_us = l.ttl_us;
+        r->renewed_us = r->called_us;
         r->written = false;
         next_call(r);
         return;
@@ -88,6 +95,7 @@
         return;
     }
     if (status == 200) {
+        r->renewed_us = r->called_us;
         schedule_call(r, LEASE_KEEP_US);
         return;
     }
@@ -104,6 +112,7 @@
         return;
     }
     r->calls++;
+    r->called_us = evl_boottime();
     if (r->lease == 0) {
         kv_call(r->conn, k->lease_new(LEASE_TTL_US), CALL_TIMEOUT_US, on_lease,
                 r);
@@ -175,6 +184,13 @@
     }
 }
 
+int64_t
+registration_valid_until(const Registration *r)
+{
+    /* The lease runs from the arrival of the call, which is later. */
+    return r->renewed_us == 0 ? 0 : r->renewed_us + r->ttl_us;
+}
+
 int64_t
 registration_calls(const Registration *r)
 {
--- a/src/registration.h
+++ b/src/registration.h
@@ -33,6 +33,10 @@
  * entry are ignored. */
 void registration_removed(Registration *r, const char *key);
 
+/* Time, on the clock of evl_boottime(), until which the lease of the entry
+ * lasts even if no further call arrives; 0: there is no entry. */
+int64_t registration_valid_until(const Registration *r);
+
 /* Number of calls to the store so far. */
 int64_t registration_calls(const Registration *r);
 
