--- a/src/kv.c
+++ b/src/kv.c
@@ -5,6 +5,9 @@
 #include "strm.h"
 
 #define UNACKED_MS 1000 /* see strm_connect() */
+/* Limit for a new connection, which takes one round trip: about 110 ms between
+ * regions. */
+#define CONNECT_US 400000
 #define HEAD_MAX 16384
 /* A page holds about 1 MB; a value of 1 MB is a third longer in base64. */
 #define ANSWER_BYTES_MAX (8 * 1024 * 1024)
@@ -15,7 +18,9 @@
     Strm strm;
     bool open;
     H1 answer;
+    GString *request; /* of the last call */
     EvlTimer timer;
+    int64_t end_us; /* time limit of the call */
     KvDone done;
     void *ctx;
 };
@@ -58,7 +63,7 @@
     KvDone done = c->done;
     Str body = {(const char *)c->answer.body->data, c->answer.body->len};
 
-    if (status == KV_NO_ANSWER || !c->answer.keep || c->strm.in->len > 0) {
+    if (status <= KV_NO_ANSWER || !c->answer.keep || c->strm.in->len > 0) {
         disconnect(c);
     }
     evl_disarm(c->loop, &c->timer);
@@ -68,12 +73,22 @@
     }
 }
 
+static void
+fail(KvConn *c)
+{
+    finish(c, !c->open || c->strm.connecting ? KV_NOT_SENT : KV_NO_ANSWER);
+}
+
 static void
 on_stream(void *ctx, StrmEvent ev)
 {
     KvConn *c = ctx;
     Err e = {0};
 
+    if (ev == STRM_CONNECTED && c->done != NULL) {
+        evl_arm(c->loop, &c->timer, c->end_us);
+        strm_write(&c->strm, c->request->str, c->request->len);
+    }
     if (ev == STRM_CONNECTED || ev == STRM_FLUSHED) {
         return;
     }
@@ -92,14 +107,24 @@
         }
         return;
     }
-    finish(c, KV_NO_ANSWER);
+    fail(c);
 }
 
 static void
 on_timeout(void *ctx, int64_t now_us)
 {
     (void)now_us;
-    finish(ctx, KV_NO_ANSWER);
+    fail(ctx);
+}
+
+/* Takes ownership of the request; NULL releases it. */
+static void
+set_request(KvConn *c, GString *request)
+{
+    if (c->request != NULL) {
+        g_string_free(c->request, TRUE);
+    }
+    c->request = request;
 }
 
 KvConn *
@@ -119,6 +144,7 @@
 {
     kv_cancel(c);
     disconnect(c);
+    set_request(c, NULL);
     h1_clear(&c->answer);
     g_free(c);
 }
@@ -133,19 +159,28 @@
 kv_call(KvConn *c, GString *request, int64_t timeout_us, KvDone done,
         void *ctx)
 {
+    int64_t now_us = evl_now(c->loop);
+
     c->done = done;
     c->ctx = ctx;
+    c->end_us = now_us + timeout_us;
     h1_next(&c->answer);
+    set_request(c, request);
     if (!c->open) {
         c->open =
             strm_connect(&c->strm, c->loop, (const struct sockaddr *)&c->at,
                          UNACKED_MS, on_stream, c);
     }
-    if (c->open) {
+    if (!c->open) {
+        evl_arm(c->loop, &c->timer, now_us);
+    }
+    else if (c->strm.connecting) {
+        evl_arm(c->loop, &c->timer, MIN(c->end_us, now_us + CONNECT_US));
+    }
+    else {
+        evl_arm(c->loop, &c->timer, c->end_us);
         strm_write(&c->strm, request->str, request->len);
     }
-    g_string_free(request, TRUE);
-    evl_arm(c->loop, &c->timer, evl_now(c->loop) + (c->open ? timeout_us : 0));
 }
 
 void
--- a/src/kv.h
+++ b/src/kv.h
@@ -58,9 +58,10 @@
 
 void kv_page_clear(KvPage *p);
 
-#define KV_NO_ANSWER 0 /* the call may have been or may yet be executed */
+#define KV_NO_ANSWER 0   /* the call may have been or may yet be executed */
+#define KV_NOT_SENT (-1) /* no connection; the call was not sent */
 
-/* status: HTTP status, or KV_NO_ANSWER. */
+/* status: HTTP status, KV_NO_ANSWER or KV_NOT_SENT. */
 typedef void (*KvDone)(void *ctx, int status, Str body, int64_t now_us);
 
 typedef struct KvConn KvConn;
@@ -70,7 +71,8 @@
 bool kv_busy(const KvConn *c);
 
 /* Starts a call and takes ownership of the request.  The connection must not
- * be busy. */
+ * be busy.  A new connection gets only part of the time: a packet that opens
+ * it and is lost is sent again after a second, a further attempt sooner. */
 void kv_call(KvConn *c, GString *request, int64_t timeout_us, KvDone done,
              void *ctx);
 
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -10,6 +10,8 @@
 /* Short enough for the copy to be current again within 3 s after the store
  * becomes reachable. */
 #define BACKOFF_MAX_US 900000
+/* Longest pause after an attempt to connect, which costs the store nothing. */
+#define RECONNECT_MAX_US 300000
 #define RELIST_US 250000 /* until the list that confirms missing keys */
 /* A watch that confirms a list returns at once.  It is repeated while its
  * answer has at least CONFIRM_EVENTS events, since this may be a full page and
@@ -89,7 +91,9 @@
     f->m->o.fns.failed(f->m->o.ctx, now_us);
     f->failed_us = now_us;
     f->missed = false;
-    f->backoff_us = CLAMP(f->backoff_us * 2, BACKOFF_MIN_US, BACKOFF_MAX_US);
+    f->backoff_us =
+        CLAMP(f->backoff_us * 2, BACKOFF_MIN_US,
+              status == KV_NOT_SENT ? RECONNECT_MAX_US : BACKOFF_MAX_US);
     dlog_event(f->m->o.log, DLOG_INFO, "store",
                "event=call_failed prefix=%s call=%s status=%d "
                "backoff_ms=%" G_GINT64_FORMAT,
--- a/src/registration.c
+++ b/src/registration.c
@@ -5,6 +5,8 @@
 
 #define CALL_TIMEOUT_US 1000000
 #define RETRY_US 1200000
+/* Pause after an attempt to connect, which costs the store nothing. */
+#define RECONNECT_US 300000
 #define LEASE_TTL_US 4000000
 #define LEASE_KEEP_US 1600000 /* so that one renewal may fail */
 
@@ -41,7 +43,7 @@
     dlog_event(r->o.log, DLOG_INFO, "store",
                "event=call_failed key=%s call=%s status=%d", r->key, what,
                status);
-    schedule_call(r, RETRY_US);
+    schedule_call(r, status == KV_NOT_SENT ? RECONNECT_US : RETRY_US);
 }
 
 static void
--- a/tests/soak_edge.c
+++ b/tests/soak_edge.c
@@ -364,7 +364,7 @@
     g_strlcpy(r.id, c->id, sizeof(r.id));
     g_array_append_val(w->results, r);
     p->has_responded =
-        p->has_responded || (same_process && status != KV_NO_ANSWER);
+        p->has_responded || (same_process && status > KV_NO_ANSWER);
     if (status == 200) {
         check_body(w, c, body);
         p->newest_route =
@@ -376,7 +376,7 @@
                          "404 for route %d, but route %d was served",
                          c->route_no, p->newest_route);
     }
-    if (status == KV_NO_ANSWER) {
+    if (status <= KV_NO_ANSWER) {
         check_stop(w, c, now_us);
     }
     if (has_settled(w, c->at_us) && strcmp(c->behaviour, "ok") == 0) {
