--- a/src/edge.c
+++ b/src/edge.c
@@ -20,6 +20,8 @@
  * after this VM was stalled.  A connection and a round trip between regions
  * take about 250 ms. */
 #define VIEW_WAIT_US 400000
+/* The same for a VM that was cut off and lacks changes of the view. */
+#define VIEW_BEHIND_WAIT_US 1000000
 /* Upstreams whose entries disappear around a failure of the store are kept for
  * this time, within which the entries reappear after an outage of the store.
  */
@@ -158,6 +160,17 @@
     px_wait_for_view(((Edge *)ctx)->px, 0);
 }
 
+/* Requests must not use upstreams or routes that were withdrawn while this VM
+ * was cut off, so they are queued until the changes are known. */
+static void
+on_view_behind(void *ctx, int64_t now_us)
+{
+    Edge *g = ctx;
+
+    dlog_event(g->log, DLOG_WARN, "store", "event=changes_missed");
+    px_wait_for_view(g->px, now_us + VIEW_BEHIND_WAIT_US);
+}
+
 /* Runs after the process was stalled.  Requests that arrived in its sockets
  * meanwhile must not use upstreams or routes that were withdrawn during the
  * stall, so they are queued until the view is current. */
@@ -392,8 +405,12 @@
         .urgent = pf_operator_prefix,
         .rnd = g->rnd,
         .propagation_us = g->propagation_us,
-        .fns = {on_item, on_view_complete, on_view_current, on_store_failure,
-                on_announce},
+        .fns = {.changed = on_item,
+                .ready = on_view_complete,
+                .current = on_view_current,
+                .behind = on_view_behind,
+                .failed = on_store_failure,
+                .announce = on_announce},
         .ctx = g,
     };
 
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -45,6 +45,8 @@
                         too, so the events of the next watch are not
                         forwarded. */
     int64_t watch_start_us; /* start of the watch; boot time */
+    int64_t confirmed_us;   /* when the copy was last known to be current; boot
+                               time */
     int64_t failed_us;      /* time of the last failed call; steady time */
     int64_t backoff_us;
     bool failing;
@@ -160,17 +162,41 @@
     }
 }
 
+static bool
+is_current(const Feed *f)
+{
+    return f->listed && !f->checking && !f->urgent_pending &&
+           !resync_lacks_changes(f->resync);
+}
+
 static void
 notify_current(Mirror *m, int64_t now_us)
 {
     for (int i = 0; i < m->n_feeds; i++) {
-        if (!m->feeds[i].listed || m->feeds[i].checking) {
+        if (!is_current(&m->feeds[i])) {
             return;
         }
     }
     m->o.fns.current(m->o.ctx, now_us);
 }
 
+static void
+on_resync(void *ctx, int64_t now_us)
+{
+    notify_current(((Feed *)ctx)->m, now_us);
+}
+
+/* Handles an answer of the store which shows that changes were missed. */
+static void
+changes_missed(Feed *f, int64_t now_us)
+{
+    Mirror *m = f->m;
+
+    if (f->listed && evl_boottime() - f->confirmed_us > m->o.propagation_us) {
+        m->o.fns.behind(m->o.ctx, now_us);
+    }
+}
+
 /* Records that the copy is as recent as the store's own answers. */
 static void
 mark_current(Feed *f, int64_t now_us)
@@ -198,6 +224,7 @@
     f->relist = kvcache_drop_missing(f->cache, f->rev, 2, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
     f->listing = false;
+    f->confirmed_us = evl_boottime();
     mark_current(f, now_us);
     if (f->relist) {
         feed_schedule(f, RELIST_US);
@@ -317,6 +344,7 @@
         break;
     case GOSSIP_NEXT:
         apply_events(f, &w->page, NULL, now_us);
+        f->confirmed_us = evl_boottime();
         /* A VM whose calls the store refuses stays current by gossip. */
         if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed) {
             m->deferred++;
@@ -393,6 +421,7 @@
             feed_list(f);
         }
         else {
+            changes_missed(f, now_us);
             f->urgent_pending = true;
             resync_begin(f->resync);
             feed_list_urgent(f);
@@ -425,9 +454,11 @@
         dlog_event(f->m->o.log, DLOG_INFO, "store",
                    "event=behind prefix=%s rev=%" G_GUINT64_FORMAT, f->prefix,
                    f->rev);
+        changes_missed(f, now_us);
         feed_watch(f);
         return;
     }
+    f->confirmed_us = f->watch_start_us;
     mark_current(f, now_us);
     feed_pause(f, f->missed, now_us);
     f->missed = false;
@@ -524,7 +555,9 @@
                          .rnd = o->rnd,
                          .prefix = f->prefix,
                          .propagation_us = o->propagation_us,
-                         .cache = f->cache};
+                         .cache = f->cache,
+                         .found = on_resync,
+                         .ctx = f};
         f->resync = resync_new(&go);
         f->timer = (EvlTimer){.fn = on_timer, .ctx = f};
         feed_list(f);
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -33,6 +33,9 @@
     void (*ready)(void *ctx, int64_t now_us);
     /* The copy is as recent as the store's own answers. */
     void (*current)(void *ctx, int64_t now_us);
+    /* The store answers again, and the copy lacks changes that are older than
+     * the propagation time; "current" follows when they are known. */
+    void (*behind)(void *ctx, int64_t now_us);
     /* A call failed; the copy may be out of date. */
     void (*failed)(void *ctx, int64_t now_us);
     /* Changes to send to nearby VMs; valid during the call only. */
--- a/src/resync.c
+++ b/src/resync.c
@@ -13,6 +13,7 @@
 struct Resync {
     ResyncOpts o;
     bool active;
+    bool lacks_changes;
     uint64_t to;
     KvConn *conn;
     EvlTimer timer;
@@ -47,8 +48,12 @@
     /* Missing keys are dropped after the first list, so that upstreams that
      * left are not used any longer.  A second list restores keys that the
      * first one lacked by mistake. */
-    if (kvcache_drop_missing(g->o.cache, g->oldest, 1, now_us) > 0 &&
-        !g->second_list) {
+    bool dropped = kvcache_drop_missing(g->o.cache, g->oldest, 1, now_us) > 0;
+    if (g->lacks_changes) {
+        g->lacks_changes = false;
+        g->o.found(g->o.ctx, now_us);
+    }
+    if (dropped && !g->second_list) {
         g->second_list = true;
         schedule_read(g, SECOND_LIST_US);
         return;
@@ -141,6 +146,7 @@
 {
     resync_end(g);
     g->active = true;
+    g->lacks_changes = true;
     kvcache_keep_removed(g->o.cache, true);
 }
 
@@ -161,11 +167,18 @@
     kv_cancel(g->conn);
     g_clear_pointer(&g->after, g_free);
     g->active = false;
+    g->lacks_changes = false;
     g->second_list = false;
     g->tries = 0;
     kvcache_keep_removed(g->o.cache, false);
 }
 
+bool
+resync_lacks_changes(const Resync *g)
+{
+    return g->lacks_changes;
+}
+
 int64_t
 resync_calls(const Resync *g)
 {
--- a/src/resync.h
+++ b/src/resync.h
@@ -27,6 +27,9 @@
     const char *prefix;
     int64_t propagation_us; /* longest time for a change to reach this VM */
     KvCache *cache;
+    /* The changes are in the cache. */
+    void (*found)(void *ctx, int64_t now_us);
+    void *ctx;
 } ResyncOpts;
 
 typedef struct Resync Resync;
@@ -42,6 +45,9 @@
  * resync_begin(). */
 void resync_run(Resync *g, uint64_t to);
 
+/* True from resync_begin() until the changes are in the cache. */
+bool resync_lacks_changes(const Resync *g);
+
 /* Ends the resync.  Called early when the store itself is listed, which makes
  * the resync unnecessary. */
 void resync_end(Resync *g);
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -52,6 +52,7 @@
     GHashTable *keys; /* keys that the mirror holds */
     char at_ready[256];
     char at_end[256];
+    int n_behind;        /* calls of MirrorFns.behind */
     char announced[256]; /* keys that were announced to other VMs */
 } Store;
 
@@ -190,6 +191,15 @@
     (void)now_us;
 }
 
+static void
+on_behind(void *ctx, int64_t now_us)
+{
+    Store *s = ctx;
+    (void)now_us;
+
+    s->n_behind++;
+}
+
 static void
 on_gossip_timer(void *ctx, int64_t now_us)
 {
@@ -256,7 +266,12 @@
         .urgent = pf_operator_prefix,
         .rnd = g_rand_new_with_seed(1),
         .propagation_us = PROPAGATION_US,
-        .fns = {on_item, on_ready, on_current, on_failed, on_announce},
+        .fns = {.changed = on_item,
+                .ready = on_ready,
+                .current = on_current,
+                .behind = on_behind,
+                .failed = on_failed,
+                .announce = on_announce},
         .ctx = s,
     };
     s->mirror = mirror_new(&o);
@@ -387,6 +402,8 @@
     run(&s, script, 4000000);
     ck_assert_str_eq(s.at_ready, "servers/a servers/b ");
     ck_assert_str_eq(s.at_end, "op/evacuate/z servers/c ");
+    /* The copy was current a moment before, so no request has to wait. */
+    ck_assert_int_eq(s.n_behind, 0);
 }
 END_TEST
 
--- a/tests/test_regain.c
+++ b/tests/test_regain.c
@@ -193,6 +193,22 @@
     return true;
 }
 
+static void
+on_behind(void *ctx, int64_t now_us)
+{
+    ((Vm *)ctx)->behind_us = now_us;
+}
+
+static void
+on_current(void *ctx, int64_t now_us)
+{
+    Vm *vm = ctx;
+
+    if (vm->behind_us != 0 && vm->current_us == 0) {
+        vm->current_us = now_us;
+    }
+}
+
 static void
 ignore_time(void *ctx, int64_t now_us)
 {
@@ -221,7 +237,8 @@
         .propagation_us = PROPAGATION_US,
         .fns = {.changed = on_item,
                 .ready = ignore_time,
-                .current = ignore_time,
+                .current = on_current,
+                .behind = on_behind,
                 .failed = ignore_time,
                 .announce = ignore_gossip},
         .ctx = vm,
@@ -298,4 +315,21 @@
 }
 END_TEST
 
-T_MAIN("regain", the_store_is_called_soon_after_a_cut)
+/* Guards against a VM that knows that it has missed changes and uses its old
+ * copy until it has them. */
+START_TEST(missed_changes_are_reported_until_they_are_known)
+{
+    static Net net;
+
+    run(&net);
+    for (int i = 0; i < MIRRORS; i++) {
+        const Vm *vm = &net.vms[i];
+        ck_assert_int_gt(vm->behind_us, net.restored_us);
+        ck_assert_int_le(vm->behind_us, vm->known_us);
+        ck_assert_int_ge(vm->current_us, vm->known_us);
+    }
+}
+END_TEST
+
+T_MAIN("regain", the_store_is_called_soon_after_a_cut,
+       missed_changes_are_reported_until_they_are_known)
