--- a/src/edge.c
+++ b/src/edge.c
@@ -124,6 +124,7 @@
     (void)now_us;
 
     g->view_complete = true;
+    px_view_complete(g->px);
     update_sharers(g);
     dlog_event(g->log, DLOG_INFO, "store", "event=view_complete vms=%d",
                vml_count(g->vms));
--- a/src/px.c
+++ b/src/px.c
@@ -142,7 +142,7 @@
     Px *p = ctx;
     Str id = h1_get(req, p->o.names->attempt);
 
-    if (p->table == NULL) {
+    if (p->table == NULL || !p->view_complete) {
         p->counts[PX_UNROUTED]++;
         int lines = dlog_admit(p->o.log, true, now_us);
         if (lines > 0) {
@@ -258,6 +258,12 @@
     p->max_rtt_us = max_rtt_us;
 }
 
+void
+px_view_complete(Px *p)
+{
+    p->view_complete = true;
+}
+
 void
 px_wait_for_view(Px *p, int64_t until_us)
 {
--- a/src/px.h
+++ b/src/px.h
@@ -44,6 +44,10 @@
 void px_set_routes(Px *p, RtTable *t);
 const RtTable *px_routes(const Px *p);
 
+/* Starts to forward requests: the view of the store is complete and confirmed
+ * by the store.  Requests that arrive before are refused. */
+void px_view_complete(Px *p);
+
 /* VMs that share the limits of cold upstreams; borrowed until the next call.
  * self: index of this VM, or -1. */
 void px_set_vms(Px *p, const PickVm *vms, int n, int self);
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -66,6 +66,7 @@
     int self;
     uint32_t vms_version; /* number of calls of px_set_vms() */
     int64_t max_rtt_us;
+    bool view_complete;   /* see px_view_complete() */
     int64_t view_wait_us; /* see px_wait_for_view() */
     GateStop stop;
     GQueue queue;
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -24,7 +24,8 @@
  *   PUT  /test/delete?KEY  removes KEY
  *   PUT  /test/mode?MODE   ok; busy: respond 503; refuse: respond 429;
  *                          silent: do not respond; forget: respond 410 to the
- *                          next watch, then return to ok
+ *                          next watch, then return to ok; partial: do not
+ *                          respond to the second page of a list
  *   GET  /test/runs?ID     number of runs of the attempt ID
  *   GET  /test/served?ID   number of requests that target ID accepted
  */
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -26,11 +26,12 @@
     MODE_BUSY,
     MODE_REFUSE,
     MODE_SILENT,
-    MODE_FORGET
+    MODE_FORGET,
+    MODE_PARTIAL
 } Mode;
 
 static const char *const mode_names[] = {"ok", "busy", "refuse", "silent",
-                                         "forget"};
+                                         "forget", "partial"};
 
 typedef struct Item {
     char *key;
@@ -281,7 +282,9 @@
 on_range(Platform *p, Caller *c, Str target)
 {
     char *prefix = query_param(target, "PathPrefix");
+    char *after = query_param(target, "after");
     GString *g = g_string_new("{\"items\":[");
+    bool partial = p->mode == MODE_PARTIAL;
 
     for (guint i = 0; i < p->items->len; i++) {
         const Item *it = g_ptr_array_index(p->items, i);
@@ -291,10 +294,13 @@
         }
     }
     g_string_append_printf(
-        g, "],\"HasMore\":false,\"CurrentRev\":%" G_GUINT64_FORMAT "}",
-        MAX(p->rev, 1));
-    respond(c, 200, g->str);
+        g, "],\"HasMore\":%s,\"CurrentRev\":%" G_GUINT64_FORMAT "}",
+        partial ? "true" : "false", MAX(p->rev, 1));
+    if (!partial || after == NULL) {
+        respond(c, 200, g->str);
+    }
     g_string_free(g, TRUE);
+    g_free(after);
     g_free(prefix);
 }
 
