--- a/src/gate.c
+++ b/src/gate.c
@@ -20,6 +20,12 @@
 {
     GateOut out = {false, 0};
 
+    if (in->wait_us > 0) {
+        /* Spread, so that the callers do not return all at once. */
+        out.retry_us =
+            in->wait_us + (int64_t)((double)RETRY_UNUSABLE_US * in->random);
+        return out;
+    }
     if (in->any_usable &&
         in->queued_us < in->latency_target_us * QUEUE_FRACTION &&
         in->left_us > in->service_us) {
--- a/src/gate.h
+++ b/src/gate.h
@@ -20,6 +20,8 @@
     int64_t left_us;    /* time until the deadline of the caller or route */
     int64_t service_us; /* usual service time of an upstream */
     bool any_usable;    /* usable upstreams exist, but without capacity */
+    int64_t wait_us;    /* time for which all usable upstreams asked this VM to
+                           send nothing; 0: none */
     double random;      /* random sample in [0, 1) */
 } GateIn;
 
--- a/src/pick.c
+++ b/src/pick.c
@@ -112,20 +112,25 @@
     return MAX((int)(s->max_conns * CONNS_FRACTION / n_vms), CONNS_MIN);
 }
 
+/* Returns true if the request may be sent to the upstream, now or later. */
+static bool
+may_use_later(const PickIn *in, const Ups *u, int64_t now_us)
+{
+    return ups_usable(in->set, u) && !was_tried(in, u) &&
+           now_us - u->connect_failed_us >= DOWN_RETRY_US &&
+           rt_region_allowed(in->route, in->topology->regions[u->region]);
+}
+
 static bool
 may_use(const PickIn *in, Ups *u, int64_t now_us)
 {
-    if (!ups_usable(in->set, u) || was_tried(in, u) ||
-        now_us - u->connect_failed_us < DOWN_RETRY_US) {
+    if (now_us < u->wait_until_us || !may_use_later(in, u, now_us)) {
         return false;
     }
     if (u->idle_conns.length == 0 &&
         u->n_conns >= pick_max_conns(in->service, in->n_vms)) {
         return false;
     }
-    if (!rt_region_allowed(in->route, in->topology->regions[u->region])) {
-        return false;
-    }
     if (ups_cold(in->set, u, in->service->warmup_us, now_us)) {
         return cold_allowed(in, u) &&
                bucket_has(&u->cold_bucket, cold_rate(in), COLD_BURST, now_us);
@@ -328,6 +333,23 @@
     return in->may_overflow ? u : NULL;
 }
 
+int64_t
+pick_wait_us(const PickIn *in, int64_t now_us)
+{
+    const GPtrArray *list = ups_of_service(in->set, in->service->id);
+    int64_t first_us = 0;
+
+    for (guint i = 0; list != NULL && i < list->len; i++) {
+        const Ups *u = g_ptr_array_index(list, i);
+        int64_t wait_us = u->wait_until_us - now_us;
+        if (wait_us > 0 && may_use_later(in, u, now_us) &&
+            (first_us == 0 || wait_us < first_us)) {
+            first_us = wait_us;
+        }
+    }
+    return first_us;
+}
+
 Ups *
 pick_upstream(const PickIn *in, int64_t now_us, PickReason *why)
 {
@@ -354,7 +376,7 @@
         n = put_owner_first(in, region, c, n, now_us);
     }
     if (n == 0) {
-        *why = PICK_NONE;
+        *why = pick_wait_us(in, now_us) > 0 ? PICK_WAIT : PICK_NONE;
         return NULL;
     }
     Ups *u = choose(in, c, n, now_us, &at);
@@ -373,7 +395,7 @@
 pick_reason_name(PickReason w)
 {
     static const char *const names[] = {"first",  "spill", "away", "overflow",
-                                        "capped", "full",  "none"};
+                                        "capped", "full",  "wait", "none"};
 
     return names[w];
 }
--- a/src/pick.h
+++ b/src/pick.h
@@ -43,6 +43,7 @@
     PICK_CAPPED,   /* no upstream: the request may not overflow, though another
                       region has a free slot */
     PICK_FULL,     /* the candidates have no capacity for this rank */
+    PICK_WAIT,     /* no upstream: all usable ones asked this VM to wait */
     PICK_NONE      /* no usable upstream in any region */
 } PickReason;
 
@@ -81,6 +82,10 @@
  */
 Ups *pick_upstream(const PickIn *in, int64_t now_us, PickReason *why);
 
+/* Returns the time until the first upstream that the request may use, and that
+ * asked this VM to wait, accepts requests again; 0 if none asked. */
+int64_t pick_wait_us(const PickIn *in, int64_t now_us);
+
 /* Returns true if an upstream is unresponsive, or fails or is slow so often
  * that a cold upstream is preferable. */
 bool pick_is_degraded(const Ups *u, int64_t now_us);
--- a/src/px.c
+++ b/src/px.c
@@ -39,6 +39,19 @@
     }
 }
 
+static const char *
+refusal(PickReason why)
+{
+    switch (why) {
+    case PICK_NONE:
+        return "no_upstream";
+    case PICK_WAIT:
+        return "upstreams_wait";
+    default:
+        return "no_room";
+    }
+}
+
 /* Sends a request to an upstream, queues it, or refuses it. */
 static void
 dispatch(Req *r, int64_t now_us)
@@ -58,9 +71,7 @@
         enqueue(r, now_us);
         return;
     }
-    pxreq_respond(r, PX_REFUSED, 503,
-                  r->why == PICK_NONE ? "no_upstream" : "no_room", g.retry_us,
-                  now_us);
+    pxreq_respond(r, PX_REFUSED, 503, refusal(r->why), g.retry_us, now_us);
 }
 
 static void
@@ -279,6 +290,10 @@
 void
 px_metrics(const Px *p, GString *out)
 {
+    g_string_append_printf(out,
+                           "edge_leaving_notices_total %" PRId64
+                           "\nedge_upstream_waits_total %" PRId64 "\n",
+                           p->leaving_notices, p->waits);
     for (int i = 0; i < PX_COUNTS; i++) {
         g_string_append_printf(out, "edge_requests_%s_total %" PRId64 "\n",
                                count_names[i], p->counts[i]);
--- a/src/pxhead.c
+++ b/src/pxhead.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 
 #include "limits.h"
+#include "retryafter.h"
 
 static void
 append_header(GString *g, Str name, Str value)
@@ -81,6 +82,34 @@
     return PX_RESPONSE_OWN;
 }
 
+/* Returns true if the upstream to which the attempt was sent responded to it:
+ * 421 comes from another one. */
+static bool
+is_of_upstream(const H1 *resp, const PxHeaderNames *n, Str attempt)
+{
+    PxResponseKind kind = pxhead_classify(resp, n, attempt);
+
+    return resp->parser.status_code != 421 &&
+           (kind == PX_RESPONSE_OWN || kind == PX_RESPONSE_NOT_RUN);
+}
+
+bool
+pxhead_announces_leaving(const H1 *resp, const PxHeaderNames *n, Str attempt)
+{
+    return str_eqz(h1_get(resp, n->leaving), "1") &&
+           is_of_upstream(resp, n, attempt);
+}
+
+int64_t
+pxhead_wait_us(const H1 *resp, const PxHeaderNames *n, Str attempt,
+               int64_t wall_us)
+{
+    if (resp->parser.status_code != 503 || !is_of_upstream(resp, n, attempt)) {
+        return 0;
+    }
+    return retryafter_us(resp, wall_us);
+}
+
 bool
 pxhead_load(const H1 *resp, const PxHeaderNames *n, int *running, int *waiting)
 {
--- a/src/pxhead.h
+++ b/src/pxhead.h
@@ -22,6 +22,7 @@
     const char *seal;          /* proof that the upstream sent the response */
     const char *not_run; /* set if the upstream did not run the request */
     const char *load;    /* load report: "running,waiting,slots" */
+    const char *leaving; /* "1" if the upstream is leaving */
 } PxHeaderNames;
 
 /* Returns the head of the request to an upstream, framing headers included.
@@ -44,6 +45,18 @@
 PxResponseKind pxhead_classify(const H1 *resp, const PxHeaderNames *n,
                                Str attempt);
 
+/* Returns true if the response announces that its upstream leaves.  A response
+ * to another request, or of another upstream at the address, announces
+ * nothing. */
+bool pxhead_announces_leaving(const H1 *resp, const PxHeaderNames *n,
+                              Str attempt);
+
+/* Returns the time in us for which the upstream of a response with status 503
+ * asked to be sent nothing (Retry-After); 0: none.  As above, other responses
+ * count for nothing.  wall_us: time since the epoch. */
+int64_t pxhead_wait_us(const H1 *resp, const PxHeaderNames *n, Str attempt,
+                       int64_t wall_us);
+
 /* Parses the load header.  Returns false if it is absent or malformed. */
 bool pxhead_load(const H1 *resp, const PxHeaderNames *n, int *running,
                  int *waiting);
--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -100,6 +100,7 @@
         .left_us = r->end_us - now_us,
         .service_us = (int64_t)(r->demand->work_s * 1e6),
         .any_usable = any_usable,
+        .wait_us = r->wait_us,
         .random = g_rand_double(r->p->o.rnd),
     };
 
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -40,6 +40,7 @@
     int n_delivered;  /* attempts that an upstream may have received */
     bool ran;         /* an upstream may have run the request */
     PickReason why;   /* result of the last pxtry_pick() */
+    int64_t wait_us;  /* the same, see pick_wait_us(); 0 unless PICK_WAIT */
     EvlTimer timer;
     GList queue_link;
 } Req;
@@ -72,6 +73,8 @@
     GQueue queue;
     EvlTimer queue_timer;
     int64_t counts[PX_COUNTS];
+    int64_t leaving_notices; /* upstreams that said that they leave */
+    int64_t waits;           /* answers that asked this VM to send nothing */
     Hist caller_time;
     Hist upstream_time;
 };
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -76,6 +76,7 @@
 
     memcpy(in.tried, r->tried, sizeof(r->tried));
     Ups *u = pick_upstream(&in, now_us, &r->why);
+    r->wait_us = r->why == PICK_WAIT ? pick_wait_us(&in, now_us) : 0;
     if (r->why == PICK_OVERFLOW) {
         demand_overflowed(r->demand, now_us);
     }
@@ -203,11 +204,44 @@
     attempt_ended(r, UP_INVALID, now_us);
 }
 
+/* Records what the head of a response says about its upstream. */
+static void
+observe_head(const Req *r, int64_t now_us)
+{
+    Px *p = r->p;
+    const H1 *resp = uconn_response(r->conn);
+
+    if (!uconn_is_current(r->conn)) {
+        return;
+    }
+    int64_t wait_us =
+        pxhead_wait_us(resp, p->o.names, r->attempt, g_get_real_time());
+    if (wait_us > 0) {
+        p->waits++;
+        if (now_us >= r->u->wait_until_us) {
+            dlog_event(p->o.log, DLOG_INFO, "upstream",
+                       "id=%s event=wait wait_ms=%" PRId64, r->u->id,
+                       wait_us / 1000);
+        }
+        ups_observe_wait(p->o.upstreams, r->u, wait_us, now_us);
+    }
+    if (pxhead_announces_leaving(resp, p->o.names, r->attempt) &&
+        ups_observe_leaving(p->o.upstreams, r->u, now_us)) {
+        p->leaving_notices++;
+        dlog_event(p->o.log, DLOG_INFO, "upstream",
+                   "id=%s event=said_leaving boot=%" PRIu64
+                   " report_age_ms=%" PRId64,
+                   r->u->id, r->u->boot_ms, (now_us - r->u->report_us) / 1000);
+        uconns_close_idle(p->o.pool, r->u);
+    }
+}
+
 static void
 on_done(Req *r, int64_t now_us)
 {
     H1 *resp = uconn_response(r->conn);
 
+    observe_head(r, now_us);
     if (r->state == REQ_STREAMING) {
         Caller *c = r->caller;
         caller_write(c, resp->body->data, resp->body->len);
@@ -269,6 +303,7 @@
         if (resp->body->len < BUFFERED_BYTES) {
             return;
         }
+        observe_head(r, now_us);
         GString *head = pxhead_response(resp);
         r->state = REQ_STREAMING;
         caller_begin(r->caller, (Str){head->str, head->len}, resp->length);
--- a/src/spare.c
+++ b/src/spare.c
@@ -35,6 +35,7 @@
     if (u->region == in->region || !ups_usable(in->set, u) ||
         u->idle_conns.length > 0 ||
         u->n_conns + 1 >= pick_max_conns(in->service, in->n_vms) ||
+        now_us < u->wait_until_us ||
         ups_cold(in->set, u, in->service->warmup_us, now_us)) {
         return false;
     }
--- a/src/uconn.c
+++ b/src/uconn.c
@@ -26,6 +26,7 @@
     UconnFn fn;
     void *ctx;
     GByteArray *queued; /* written once connected */
+    uint64_t boot_ms;   /* of the upstream when the connection was opened */
     int64_t idle_until_us;
     bool reused;
     bool head_request; /* the request was HEAD: its response has no body */
@@ -289,6 +290,7 @@
     }
     c->pool = p;
     c->u = ups_ref(u);
+    c->boot_ms = u->boot_ms;
     c->link.data = c;
     c->all_link.data = c;
     c->queued = g_byte_array_new();
@@ -367,6 +369,12 @@
     return c->reused;
 }
 
+bool
+uconn_is_current(const Uconn *c)
+{
+    return c->boot_ms == c->u->boot_ms;
+}
+
 H1 *
 uconn_response(Uconn *c)
 {
--- a/src/uconn.h
+++ b/src/uconn.h
@@ -62,6 +62,8 @@
 
 bool uconn_connected(const Uconn *c);
 bool uconn_is_reused(const Uconn *c);
+/* False if the upstream has restarted since the connection was opened. */
+bool uconn_is_current(const Uconn *c);
 
 /* The response as far as it has arrived; the caller may remove bytes from its
  * body. */
--- a/src/ups.c
+++ b/src/ups.c
@@ -32,10 +32,23 @@
 #define COLD_AGAIN_US 1000000
 #define SLOWNESS_RATIO_MAX 8.0 /* limits the influence of one answer */
 
+/* Time for which the notice of an upstream without an entry is kept: longer
+ * than an outage of the store, after which entries reappear. */
+#define NOTICE_KEEP_US 3600000000LL
+
 /* Joins kept in each list, at least.  Rankings that lag behind by more are
  * rebuilt. */
 #define JOINS_KEPT 512
 
+/* What a start of an upstream said of itself. */
+typedef struct Notice {
+    uint64_t boot_ms;
+    struct sockaddr_storage addr;
+    bool leaving;
+    int64_t wait_until_us;
+    int64_t at_us;
+} Notice;
+
 struct UpsSet {
     const Topology *topology;
     uint64_t version;
@@ -45,6 +58,7 @@
     GHashTable *by_id;      /* id -> Ups */
     GHashTable *by_key;     /* hash of the id -> Ups */
     GHashTable *by_service; /* service hash -> UpsList */
+    GHashTable *notices;    /* id -> Notice */
     bool drained[ZONES_MAX];
     int64_t drain_ended_us[ZONES_MAX]; /* last end of a drain; 0: none */
 };
@@ -77,6 +91,8 @@
     s->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
     s->by_service =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_list);
+    s->notices =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return s;
 }
 
@@ -86,6 +102,7 @@
     g_hash_table_destroy(s->by_service);
     g_hash_table_destroy(s->by_key);
     g_hash_table_destroy(s->by_id);
+    g_hash_table_destroy(s->notices);
     g_free(s);
 }
 
@@ -199,41 +216,137 @@
     s->version++;
 }
 
+static bool
+is_of_start(const Notice *n, uint64_t boot_ms,
+            const struct sockaddr_storage *addr)
+{
+    return n != NULL && n->boot_ms == boot_ms &&
+           memcmp(&n->addr, addr, sizeof(n->addr)) == 0;
+}
+
+/* Applies what the start of the upstream that a report names has said. */
+static void
+apply_notice(UpsSet *s, Ups *u, const UpsReport *r)
+{
+    const Notice *n = g_hash_table_lookup(s->notices, u->id);
+    bool applies = is_of_start(n, r->boot_ms, &r->addr);
+
+    u->said_leaving = applies && n->leaving;
+    u->wait_until_us = applies ? n->wait_until_us : 0;
+}
+
+static gboolean
+notice_expired(gpointer id, gpointer notice, gpointer now_us)
+{
+    (void)id;
+    return *(const int64_t *)now_us - ((const Notice *)notice)->at_us >
+           NOTICE_KEEP_US;
+}
+
+/* Returns the notice of the upstream's start, which is added if needed. */
+static Notice *
+get_notice(UpsSet *s, const Ups *u, int64_t now_us)
+{
+    Notice *n = g_hash_table_lookup(s->notices, u->id);
+
+    if (!is_of_start(n, u->boot_ms, &u->addr)) {
+        g_hash_table_foreach_remove(s->notices, notice_expired, &now_us);
+        n = g_new0(Notice, 1);
+        n->boot_ms = u->boot_ms;
+        n->addr = u->addr;
+        g_hash_table_replace(s->notices, g_strdup(u->id), n);
+    }
+    n->at_us = now_us;
+    return n;
+}
+
+/* Returns the upstream in the list, which is another one if the entry was lost
+ * and written again while a request was in flight. */
+static Ups *
+listed(const UpsSet *s, Ups *u)
+{
+    Ups *l = g_hash_table_lookup(s->by_id, u->id);
+
+    return l != NULL && l->boot_ms == u->boot_ms ? l : u;
+}
+
+static void
+mark_leaving(UpsSet *s, Ups *u)
+{
+    u->said_leaving = true;
+    u->state = u->state == UPS_READY ? UPS_DRAINING : u->state;
+    s->version++;
+}
+
+bool
+ups_observe_leaving(UpsSet *s, Ups *u, int64_t now_us)
+{
+    if (u->said_leaving) {
+        return false;
+    }
+    get_notice(s, u, now_us)->leaving = true;
+    mark_leaving(s, u);
+    mark_leaving(s, listed(s, u));
+    return true;
+}
+
+void
+ups_observe_wait(UpsSet *s, Ups *u, int64_t wait_us, int64_t now_us)
+{
+    Notice *n = get_notice(s, u, now_us);
+
+    n->wait_until_us = MAX(n->wait_until_us, now_us + wait_us);
+    u->wait_until_us = n->wait_until_us;
+    listed(s, u)->wait_until_us = n->wait_until_us;
+}
+
+/* Returns what a report changes of a known upstream. */
+static UpsChange
+compare(const Ups *u, const UpsReport *r, bool draining, int64_t now_us)
+{
+    if (u->boot_ms != r->boot_ms ||
+        memcmp(&u->addr, &r->addr, sizeof(u->addr)) != 0) {
+        return UPS_RESTARTED;
+    }
+    if (u->state == UPS_READY && draining) {
+        return UPS_DRAIN_STARTED;
+    }
+    if (u->state != UPS_READY && !draining) {
+        return UPS_DRAIN_ENDED;
+    }
+    if (u->slots != r->slots ||
+        (r->warmup_left_us > 0 &&
+         now_us + r->warmup_left_us > u->cold_until_us + COLD_AGAIN_US)) {
+        return UPS_CHANGED;
+    }
+    return UPS_SAME;
+}
+
 UpsChange
 ups_report(UpsSet *s, const UpsReport *r, int64_t now_us)
 {
-    UpsChange ch = UPS_SAME;
+    UpsChange ch = UPS_ADDED;
     Ups *u = ups_find(s, r->id);
     int zone = topology_zone(s->topology, r->zone);
 
     if (zone < 0) {
         return UPS_UNKNOWN_ZONE;
     }
-    if (u == NULL) {
-        u = add(s, r);
-        ch = UPS_ADDED;
+    bool known = u != NULL;
+    u = known ? u : add(s, r);
+    apply_notice(s, u, r);
+    bool draining = r->draining || u->said_leaving;
+    if (known) {
+        ch = compare(u, r, draining, now_us);
     }
-    else if (u->boot_ms != r->boot_ms ||
-             memcmp(&u->addr, &r->addr, sizeof(u->addr)) != 0) {
+    if (ch == UPS_RESTARTED) {
         reset_observations(u);
-        ch = UPS_RESTARTED;
-    }
-    else if (u->state == UPS_READY && r->draining) {
-        ch = UPS_DRAIN_STARTED;
-    }
-    else if (u->state != UPS_READY && !r->draining) {
-        ch = UPS_DRAIN_ENDED;
-    }
-    else if (u->slots != r->slots ||
-             (r->warmup_left_us > 0 &&
-              now_us + r->warmup_left_us > u->cold_until_us + COLD_AGAIN_US)) {
-        ch = UPS_CHANGED;
     }
     s->n_missing -= u->missing_us != 0 ? 1 : 0;
     s->version += ch != UPS_SAME ? 1 : 0;
     u->boot_ms = r->boot_ms;
     u->addr = r->addr;
-    u->state = r->draining ? UPS_DRAINING : UPS_READY;
+    u->state = draining ? UPS_DRAINING : UPS_READY;
     u->missing_us = 0;
     update_list(s, u, r, zone);
     u->report_us = now_us;
--- a/src/ups.h
+++ b/src/ups.h
@@ -54,10 +54,13 @@
     struct sockaddr_storage addr;
     int slots;
     UpsState state;
+    bool said_leaving;  /* an answer announced that it leaves, see
+                           ups_observe_leaving() */
     int64_t missing_us; /* missing from discovery since; 0: not missing */
     int64_t report_us;  /* when the last report arrived */
     int64_t cold_until_us;
     int64_t connect_failed_us; /* last failure to connect; 0: none */
+    int64_t wait_until_us;     /* it asked this VM to send nothing before */
     Bucket cold_bucket; /* this VM's share of requests while it is cold */
 
     int inflight;             /* requests of this VM */
@@ -169,6 +172,18 @@
  * fleet each VM makes too few attempts for the averages to show it. */
 bool ups_unresponsive(const Ups *u, int64_t now_us);
 
+/*
+ * Records that an answer of the upstream announced that it leaves; it gets no
+ * new work.  The notice outlasts reports that still or again call it ready, as
+ * these may be older, and the loss of its entry; it ends when the upstream has
+ * restarted.  Returns true if the notice is new.
+ */
+bool ups_observe_leaving(UpsSet *s, Ups *u, int64_t now_us);
+
+/* Records that the upstream asked this VM to send nothing for a time.  An
+ * earlier, longer wait stands; it ends when the upstream has restarted. */
+void ups_observe_wait(UpsSet *s, Ups *u, int64_t wait_us, int64_t now_us);
+
 /*
  * Observations of this VM: the load that an answer reported, the end of an
  * attempt, a lost attempt, the service time divided by the service's usual
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -27,7 +27,12 @@
  *                          next watch, then return to ok; partial: do not
  *                          respond to the second page of a list
  *   GET  /test/runs?ID     number of runs of the attempt ID
- *   GET  /test/served?ID   number of requests that target ID accepted
+ *   PUT  /test/leaving?ID  target ID says in all responses that it leaves
+ *   PUT  /test/busy?ID     target ID refuses all requests; the body is the
+ *                          value of their Retry-After
+ *   PUT  /test/well?ID     ends both
+ *   GET  /test/arrived?ID  number of requests for target ID
+ *   GET  /test/served?ID   number of those that it accepted
  */
 #include <getopt.h>
 #include <signal.h>
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -30,8 +30,8 @@
     MODE_PARTIAL
 } Mode;
 
-static const char *const mode_names[] = {"ok", "busy", "refuse", "silent",
-                                         "forget", "partial"};
+static const char *const mode_names[] = {"ok",     "busy",   "refuse",
+                                         "silent", "forget", "partial"};
 
 typedef struct Item {
     char *key;
@@ -62,7 +62,11 @@
     struct sockaddr_in addr;            /* listening address */
     struct sockaddr_in registered_addr; /* registered in the store */
     int seq;
-    int served; /* accepted requests */
+    int arrived;                  /* requests for this target */
+    int served;                   /* those of them that it accepted */
+    bool leaving;                 /* says so in all its responses */
+    char retry_after[NAME_BYTES]; /* if not empty, refuses all requests with
+                                     this Retry-After */
     CallerSet *callers;
 } Target;
 
@@ -407,6 +411,17 @@
     respond(c, 200, "{}");
 }
 
+static Target *
+find_target(Platform *p, const char *id)
+{
+    for (int i = 0; i < p->n_targets; i++) {
+        if (strcmp(p->targets[i].id, id) == 0) {
+            return &p->targets[i];
+        }
+    }
+    return NULL;
+}
+
 static void
 on_control(Platform *p, Caller *c, const char *path, const H1 *req)
 {
@@ -433,15 +448,26 @@
         respond(c, 200, out);
         return;
     }
-    else if (g_str_has_prefix(path, "/test/served?")) {
-        int n = 0;
-        for (int i = 0; i < p->n_targets; i++) {
-            n += strcmp(p->targets[i].id, q) == 0 ? p->targets[i].served : 0;
-        }
+    else if (g_str_has_prefix(path, "/test/served?") ||
+             g_str_has_prefix(path, "/test/arrived?")) {
+        const Target *t = find_target(p, q);
+        bool served = path[strlen("/test/")] == 's';
+        int n = t == NULL ? 0 : served ? t->served : t->arrived;
         snprintf(out, sizeof(out), "%d\n", n);
         respond(c, 200, out);
         return;
     }
+    else if (g_str_has_prefix(path, "/test/leaving?") ||
+             g_str_has_prefix(path, "/test/busy?") ||
+             g_str_has_prefix(path, "/test/well?")) {
+        Target *t = find_target(p, q);
+        if (t != NULL) {
+            t->leaving = path[strlen("/test/")] == 'l';
+            t->retry_after[0] = '\0';
+            str_copy(t->retry_after, sizeof(t->retry_after),
+                     (Str){(const char *)req->body->data, req->body->len});
+        }
+    }
     respond(c, 200, "{}");
 }
 
--- a/standins/platform_targets.h
+++ b/standins/platform_targets.h
@@ -17,30 +17,36 @@
 }
 
 static char *
-response_head(const char *id, int status, const char *extra)
+response_head(const Target *t, const char *id, int status, const char *extra)
 {
-    return g_strdup_printf("HTTP/1.1 %d Status\r\n%s: %s\r\n%s: 1,0,%d\r\n%s",
-                           status, pf_header_names.attempt, id,
-                           pf_header_names.load, TARGET_SLOTS, extra);
+    GString *g = g_string_new(NULL);
+
+    g_string_printf(g, "HTTP/1.1 %d Status\r\n%s: %s\r\n%s: 1,0,%d\r\n%s",
+                    status, pf_header_names.attempt, id, pf_header_names.load,
+                    TARGET_SLOTS, extra);
+    if (t->leaving) {
+        g_string_append_printf(g, "%s: 1\r\n", pf_header_names.leaving);
+    }
+    return g_string_free(g, FALSE);
 }
 
 static char *
-sealed_head(const char *id)
+sealed_head(const Target *t, const char *id)
 {
     char *seal = g_strdup_printf("%s: seal-%s\r\n", pf_header_names.seal, id);
-    char *head = response_head(id, 200, seal);
+    char *head = response_head(t, id, 200, seal);
 
     g_free(seal);
     return head;
 }
 
 static void
-respond_complete(Platform *p, Caller *c, const char *id)
+respond_complete(Target *t, Caller *c, const char *id)
 {
-    char *head = sealed_head(id);
+    char *head = sealed_head(t, id);
     char *body = g_strdup_printf("done %s\n", id);
 
-    count_run(p, id);
+    count_run(t->p, id);
     caller_respond(c, str_of(head), body, strlen(body));
     g_free(head);
     g_free(body);
@@ -50,13 +56,13 @@
  * attempt 0000.  The second one follows the body of the first without a
  * request. */
 static void
-respond_twice(Platform *p, Caller *c, const char *id, bool other_first)
+respond_twice(Target *t, Caller *c, const char *id, bool other_first)
 {
-    char *head = sealed_head(other_first ? "0000" : id);
-    char *next = sealed_head(other_first ? id : "0000");
+    char *head = sealed_head(t, other_first ? "0000" : id);
+    char *next = sealed_head(t, other_first ? id : "0000");
     char *tail = g_strdup_printf("abc%sContent-Length: 3\r\n\r\ndef", next);
 
-    count_run(p, id);
+    count_run(t->p, id);
     caller_begin(c, str_of(head), 3);
     caller_write(c, tail, strlen(tail));
     caller_end(c);
@@ -66,11 +72,11 @@
 }
 
 static void
-respond_partial(Platform *p, Caller *c, const char *id, int64_t length)
+respond_partial(Target *t, Caller *c, const char *id, int64_t length)
 {
-    char *head = sealed_head(id);
+    char *head = sealed_head(t, id);
 
-    count_run(p, id);
+    count_run(t->p, id);
     caller_begin(c, str_of(head), length);
     caller_write(c, "part", 4);
     caller_abort(c);
@@ -78,13 +84,13 @@
 }
 
 static void
-respond_large(Platform *p, Caller *c, const char *id)
+respond_large(Target *t, Caller *c, const char *id)
 {
-    char *head = sealed_head(id);
+    char *head = sealed_head(t, id);
     char *body = g_malloc0(LARGE_BYTES);
 
     memset(body, 'x', LARGE_BYTES);
-    count_run(p, id);
+    count_run(t->p, id);
     caller_begin(c, str_of(head), -1);
     caller_write(c, body, LARGE_BYTES);
     caller_end(c);
@@ -99,7 +105,7 @@
     (void)now_us;
 
     caller_set_user(d->caller, NULL);
-    respond_complete(d->t->p, d->caller, d->id);
+    respond_complete(d->t, d->caller, d->id);
     g_free(d->id);
     g_free(d);
 }
@@ -130,11 +136,16 @@
     evl_arm(t->p->loop, &d->timer, now_us + SLOW_DELAY_US);
 }
 
+/* retry_after: value of that header, empty for none. */
 static void
-respond_not_run(Caller *c, const char *id, int status)
+respond_not_run(const Target *t, Caller *c, const char *id, int status,
+                const char *retry_after)
 {
-    char *extra = g_strdup_printf("%s: 1\r\n", pf_header_names.not_run);
-    char *head = response_head(id, status, extra);
+    char *extra = g_strdup_printf(
+        "%s: 1\r\n%s%s%s", pf_header_names.not_run,
+        *retry_after == '\0' ? "" : "Retry-After: ", retry_after,
+        *retry_after == '\0' ? "" : "\r\n");
+    char *head = response_head(t, id, status, extra);
 
     caller_respond(c, str_of(head), "", 0);
     g_free(head);
@@ -145,10 +156,8 @@
 run_request(Target *t, Caller *c, const char *behaviour, const char *id,
             int64_t now_us)
 {
-    Platform *p = t->p;
-
     if (strcmp(behaviour, "cut") == 0 || strcmp(behaviour, "cutchunk") == 0) {
-        respond_partial(p, c, id, behaviour[3] == '\0' ? 100 : -1);
+        respond_partial(t, c, id, behaviour[3] == '\0' ? 100 : -1);
     }
     else if (strcmp(behaviour, "garble") == 0) {
         caller_begin(c, str_of("these bytes are no answer\r\n"), 0);
@@ -156,35 +165,35 @@
     }
     else if (strcmp(behaviour, "extra") == 0 ||
              strcmp(behaviour, "otherid") == 0) {
-        respond_twice(p, c, id, behaviour[0] == 'o');
+        respond_twice(t, c, id, behaviour[0] == 'o');
     }
     else if (strcmp(behaviour, "reset") == 0) {
         caller_abort(c);
     }
     else if (strcmp(behaviour, "lost") == 0) {
-        count_run(p, id);
+        count_run(t->p, id);
         caller_abort(c);
     }
     else if (strcmp(behaviour, "notrun") == 0) {
-        respond_not_run(c, id, 503);
+        respond_not_run(t, c, id, 503, "");
     }
     else if (strcmp(behaviour, "misdirected") == 0) {
-        respond_not_run(c, id, 421);
+        respond_not_run(t, c, id, 421, "");
     }
     else if (strcmp(behaviour, "slow") == 0) {
         respond_delayed(t, c, id, now_us);
     }
     else if (g_str_has_prefix(behaviour, "endless")) {
-        char *head = sealed_head(id);
-        count_run(p, id);
+        char *head = sealed_head(t, id);
+        count_run(t->p, id);
         endless_begin(t, c, behaviour + strlen("endless"), head, now_us);
         g_free(head);
     }
     else if (strcmp(behaviour, "large") == 0) {
-        respond_large(p, c, id);
+        respond_large(t, c, id);
     }
     else {
-        respond_complete(p, c, id);
+        respond_complete(t, c, id);
     }
 }
 
@@ -197,7 +206,10 @@
     char *path = g_strndup(req->target.p, req->target.n);
 
     if (!str_eqz(h1_get(req, pf_header_names.want_upstream), t->id)) {
-        respond_not_run(c, attempt_id, 421);
+        respond_not_run(t, c, attempt_id, 421, "");
+    }
+    else if (++t->arrived > 0 && *t->retry_after != '\0') {
+        respond_not_run(t, c, attempt_id, 503, t->retry_after);
     }
     else {
         t->served++;
