--- a/src/px.c
+++ b/src/px.c
@@ -153,7 +153,11 @@
     Px *p = ctx;
     Str id = h1_get(req, p->o.names->attempt);
 
-    if (p->table == NULL || !p->view_complete) {
+    const RtRoute *route =
+        p->table == NULL
+            ? NULL
+            : rt_match(p->table, h1_get(req, "host"), req->target);
+    if (route == NULL && !p->view_complete) {
         p->counts[PX_UNROUTED]++;
         int lines = dlog_admit(p->o.log, true, now_us);
         if (lines > 0) {
@@ -165,8 +169,6 @@
                             RETRY_NO_ROUTES_US);
         return;
     }
-    const RtRoute *route =
-        rt_match(p->table, h1_get(req, "host"), req->target);
     if (route == NULL) {
         p->counts[PX_UNROUTED]++;
         if (dlog_admit(p->o.log, true, now_us)) {
--- a/src/px.h
+++ b/src/px.h
@@ -44,8 +44,9 @@
 void px_set_routes(Px *p, RtTable *t);
 const RtTable *px_routes(const Px *p);
 
-/* Starts to forward requests: the view of the store is complete and confirmed
- * by the store.  Requests that arrive before are refused. */
+/* The view of the store is complete and confirmed by the store.  Requests that
+ * match no route before may match one of a newer configuration, so they are
+ * refused with 503 and not with 404. */
 void px_view_complete(Px *p);
 
 /* VMs that share the limits of cold upstreams; borrowed until the next call.
