--- a/src/caller.c
+++ b/src/caller.c
@@ -465,7 +465,13 @@
 int
 callers_busy(const CallerSet *s)
 {
-    return s->busy;
+    int writing = 0;
+
+    for (GList *l = s->open.head; l != NULL; l = l->next) {
+        const Caller *c = l->data;
+        writing += !c->busy && c->strm.out->len > 0 ? 1 : 0;
+    }
+    return s->busy + writing;
 }
 
 void
--- a/src/caller.h
+++ b/src/caller.h
@@ -51,7 +51,7 @@
 
 /* Number of open connections. */
 int callers_open(const CallerSet *s);
-/* Number of requests whose response is not complete. */
+/* Number of requests whose response was not passed to the kernel yet. */
 int callers_busy(const CallerSet *s);
 
 /* Adds "Connection: close" to all subsequent responses. */
