--- a/standins/platform.c
+++ b/standins/platform.c
@@ -6,11 +6,13 @@
  *   ok           complete response
  *   cut          response truncated before its Content-Length
  *   cutchunk     chunked response truncated before its last chunk
+ *   cuthead      connection closed within the head of the response
  *   garble       bytes that are not HTTP
  *   extra        complete response, followed by the response to another
  *                attempt
  *   otherid      response to another attempt, followed by the complete
  *                response
+ *   oldrefusal   refusal of another attempt, followed by the complete response
  *   reset        connection aborted before the request runs
  *   lost         connection aborted after the request ran
  *   notrun       503, marked as not run
--- a/standins/platform_targets.h
+++ b/standins/platform_targets.h
@@ -52,6 +52,38 @@
     g_free(body);
 }
 
+/* Sends a refusal of attempt 0000 once more, then the response to attempt id.
+ */
+static void
+respond_after_refusal(Target *t, Caller *c, const char *id)
+{
+    char *extra = g_strdup_printf("%s: 1\r\n", pf_header_names.not_run);
+    char *refusal = response_head(t, "0000", 503, extra);
+    char *own = sealed_head(t, id);
+    char *tail = g_strdup_printf("%sContent-Length: 3\r\n\r\ndef", own);
+
+    count_run(t->p, id);
+    caller_begin(c, str_of(refusal), 0);
+    caller_write(c, tail, strlen(tail));
+    caller_end(c);
+    g_free(extra);
+    g_free(refusal);
+    g_free(own);
+    g_free(tail);
+}
+
+/* Sends a part of the response's head, which ends in a header, and closes. */
+static void
+respond_cut_head(Target *t, Caller *c, const char *id)
+{
+    char *head = sealed_head(t, id);
+
+    count_run(t->p, id);
+    caller_write(c, head, strlen(head) - 1);
+    caller_abort(c);
+    g_free(head);
+}
+
 /* Sends the response to attempt id and, before or after it, a response to
  * attempt 0000.  The second one follows the body of the first without a
  * request. */
@@ -159,6 +191,12 @@
     if (strcmp(behaviour, "cut") == 0 || strcmp(behaviour, "cutchunk") == 0) {
         respond_partial(t, c, id, behaviour[3] == '\0' ? 100 : -1);
     }
+    else if (strcmp(behaviour, "oldrefusal") == 0) {
+        respond_after_refusal(t, c, id);
+    }
+    else if (strcmp(behaviour, "cuthead") == 0) {
+        respond_cut_head(t, c, id);
+    }
     else if (strcmp(behaviour, "garble") == 0) {
         caller_begin(c, str_of("these bytes are no answer\r\n"), 0);
         caller_abort(c);
--- a/tests/platform_path.sh
+++ b/tests/platform_path.sh
@@ -52,6 +52,15 @@
 check notrun_retry "$(grep -ci '^retry-after: 0\.' "$dir/head")" 1
 check misdirected "$(ask 1 d8 /write/x/misdirected) $(runs d8)" "503 0"
 
+# Guards against "not run" for a request that ran, or a second run of it, when
+# a target repeats an earlier refusal on a connection in use.
+check old_refusal "$(ask 1 d9 /write/x/oldrefusal) $(cat "$dir/body") $(runs d9)" "200 def 1"
+check after_old_refusal "$(ask 1 d10 /write/x/ok) $(cat "$dir/body")" "200 done d10"
+
+# Guards against a complete response made of one that ended within its head.
+check cut_head_write "$(ask 1 d11 /write/x/cuthead) $(runs d11)" "502 1"
+check cut_head_read "$(ask 1 d12 /read/x/cuthead) $(runs d12)" "502 2"
+
 # Guards against a request that still runs after its caller has disconnected.
 check left "$(ask 1 e1 /write/x/slow -m 0.3)" "000 rc=28"
 sleep 1.2
