--- a/standins/platform.c
+++ b/standins/platform.c
@@ -33,6 +33,12 @@
  *   PUT  /test/busy?ID     target ID refuses all requests; the body is the
  *                          value of their Retry-After
  *   PUT  /test/well?ID     ends both
+ *   PUT  /test/restart?ID  ends both by a new start of target ID
+ *   PUT  /test/path?ID     the path to target ID is cut or open, by the body;
+ *                          excuses VMs from what it has said before
+ *   GET  /test/broken      number of requests that came to a target later than
+ *                          the drain time after its notice of leaving, and of
+ *                          those beyond two during a wait; see platform_notice
  *   GET  /test/arrived?ID  number of requests for target ID
  *   GET  /test/served?ID   number of those that it accepted
  */
@@ -69,9 +75,9 @@
         char *text = g_strdup_printf(
             "{\"Service\":\"%s\",\"Addr\":\"127.0.0.1:%d\",\"Zone\":\"%s\","
             "\"Slots\":%d,\"State\":\"ready\",\"ColdLeft\":\"0ms\",\"Seq\":%d,"
-            "\"born\":1}",
+            "\"born\":%" G_GUINT64_FORMAT "}",
             t->service, ntohs(t->registered_addr.sin_port), t->zone,
-            TARGET_SLOTS, ++t->seq);
+            TARGET_SLOTS, ++t->seq, t->boot_ms);
         put_bytes(p, key, text, strlen(text));
         g_free(key);
         g_free(text);
@@ -117,6 +123,8 @@
         str_copy(t->zone, sizeof(t->zone), str_of(f[3]));
 
     t->p = p;
+    t->boot_ms = 1;
+    t->told = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     p->n_targets += ok ? 1 : 0;
     g_strfreev(f);
     return ok;
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -62,9 +62,12 @@
     struct sockaddr_in addr;            /* listening address */
     struct sockaddr_in registered_addr; /* registered in the store */
     int seq;
-    int arrived;                  /* requests for this target */
-    int served;                   /* those of them that it accepted */
-    bool leaving;                 /* says so in all its responses */
+    int arrived;      /* requests for this target */
+    int served;       /* those of them that it accepted */
+    bool leaving;     /* says so in all its responses */
+    bool path_cut;    /* its responses may not arrive */
+    uint64_t boot_ms; /* reported as its start */
+    GHashTable *told; /* entry VM process -> Told, see platform_notice.h */
     char retry_after[NAME_BYTES]; /* if not empty, refuses all requests with
                                      this Retry-After */
     CallerSet *callers;
@@ -86,7 +89,9 @@
     GPtrArray *items; /* Item; latest of each key, also of removed keys */
     GArray *leases;   /* Lease */
     GPtrArray *watches;
-    GHashTable *runs; /* attempt id -> number of runs */
+    GHashTable *runs;      /* attempt id -> number of runs */
+    int late_after_notice; /* requests that broke a notice of leaving */
+    int during_wait;       /* requests that broke a wait */
     Target targets[MAX_TARGETS];
     int n_targets;
     CallerSet *callers;
@@ -448,6 +453,13 @@
         respond(c, 200, out);
         return;
     }
+    else if (strcmp(path, "/test/broken") == 0) {
+        char text[64];
+        snprintf(text, sizeof(text), "%d %d\n", p->late_after_notice,
+                 p->during_wait);
+        respond(c, 200, text);
+        return;
+    }
     else if (g_str_has_prefix(path, "/test/served?") ||
              g_str_has_prefix(path, "/test/arrived?")) {
         const Target *t = find_target(p, q);
@@ -459,8 +471,22 @@
     }
     else if (g_str_has_prefix(path, "/test/leaving?") ||
              g_str_has_prefix(path, "/test/busy?") ||
-             g_str_has_prefix(path, "/test/well?")) {
+             g_str_has_prefix(path, "/test/well?") ||
+             g_str_has_prefix(path, "/test/restart?") ||
+             g_str_has_prefix(path, "/test/path?")) {
         Target *t = find_target(p, q);
+        if (t != NULL && path[strlen("/test/")] == 'p') {
+            t->path_cut = req->body->len > 0 && req->body->data[0] == 'c';
+            g_hash_table_remove_all(t->told);
+            t = NULL;
+        }
+        if (t != NULL && path[strlen("/test/")] == 'r') {
+            t->boot_ms++;
+            g_hash_table_remove_all(t->told);
+            char *key = g_strdup_printf("servers/%s", t->id);
+            put(p, key, NULL, 0); /* the next report writes it */
+            g_free(key);
+        }
         if (t != NULL) {
             t->leaving = path[strlen("/test/")] == 'l';
             t->retry_after[0] = '\0';
--- a/standins/platform_targets.h
+++ b/standins/platform_targets.h
@@ -6,6 +6,7 @@
 #define MIMOSA_PLATFORM_TARGETS_H
 
 #include "platform_endless.h"
+#include "platform_notice.h"
 #include "platform_store.h"
 
 static void
@@ -243,10 +244,17 @@
     char *attempt_id = g_strndup(id.p, id.n);
     char *path = g_strndup(req->target.p, req->target.n);
 
-    if (!str_eqz(h1_get(req, pf_header_names.want_upstream), t->id)) {
+    bool mine = str_eqz(h1_get(req, pf_header_names.want_upstream), t->id);
+    if (mine) {
+        t->arrived++;
+        bool responds =
+            *t->retry_after != '\0' || g_str_has_suffix(path, "/ok");
+        notice_check(t, req, responds, now_us);
+    }
+    if (!mine) {
         respond_not_run(t, c, attempt_id, 421, "");
     }
-    else if (++t->arrived > 0 && *t->retry_after != '\0') {
+    else if (*t->retry_after != '\0') {
         respond_not_run(t, c, attempt_id, 503, t->retry_after);
     }
     else {
--- a/tests/soak_edge.c
+++ b/tests/soak_edge.c
@@ -19,6 +19,10 @@
  *   end       a VM process neither exits unprompted nor crashes
  *   recover   after the faults, MIN_SERVED_RATIO of the requests get 200
  *   memory    the resident set of a VM process is at most RSS_MAX_KB
+ *   notice    no request is sent to a target later than the drain time after
+ *             it has told the VM that it leaves
+ *   wait      at most two requests are sent to a target that has asked the VM
+ *             for a wait
  *   check     the stand-in returns the number of runs of each attempt
  *
  * usage: soak_edge [--seed N] [--steps N]
@@ -60,6 +64,7 @@
     bool paused;
     int64_t resume_us;
     int newest_route; /* highest number of a route that it has served */
+    int n_paused;     /* a pause excuses it from notices received before */
 } Proc;
 
 /* A caller, its connection and its current request. */
@@ -105,6 +110,7 @@
     int version;
     GArray *results; /* Result */
     guint checked;
+    bool notices_ended; /* the targets were restarted after the faults */
     int recovery_served;
     int recovery_requests;
     int status_counts[6]; /* by first digit of the status; 0: no response */
@@ -424,10 +430,12 @@
                     "%s /%s/o%d/%s HTTP/1.1\r\nHost: desk.example\r\n"
                     "X-Mimosascale-Attempt-Id: %s\r\n"
                     "X-Mimosascale-Affinity-Key: %d\r\n"
-                    "X-Mimosascale-Deadline-Ms: 3000\r\n%s\r\n%s",
+                    "X-Mimosascale-Deadline-Ms: 3000\r\n"
+                    "%s: %d-%d-%d\r\n%s: %" G_GINT64_FORMAT "\r\n%s\r\n%s",
                     c->non_idempotent ? "POST" : "GET", route, rnd(w, 40),
-                    c->behaviour, c->id, rnd(w, 40),
-                    c->non_idempotent ? "Content-Length: 4\r\n" : "",
+                    c->behaviour, c->id, rnd(w, 40), "X-Test-Vm", c->vm,
+                    (int)c->pid, w->vms[c->vm].n_paused, "X-Test-Sent-Us",
+                    now_us, c->non_idempotent ? "Content-Length: 4\r\n" : "",
                     c->non_idempotent ? "work" : "");
     kv_call(c->conn, g, CALL_TIMEOUT_US, on_response, c);
 }
@@ -449,6 +457,7 @@
     }
     if (sig == SIGSTOP) {
         p->paused = true;
+        p->n_paused++;
         p->resume_us = now_us + (200 + rnd(w, 2500)) * MS;
     }
 }
@@ -490,6 +499,21 @@
     }
 }
 
+/* Lets a target announce that it leaves or ask for a wait, or ends both. */
+static void
+give_notice(World *w)
+{
+    static const char *const calls[] = {"leaving", "busy", "well", "restart",
+                                        "restart"};
+    int k = rnd(w, G_N_ELEMENTS(calls));
+    char path[64];
+    char seconds[16];
+
+    snprintf(path, sizeof(path), "/test/%s?u-%d", calls[k], rnd(w, TARGETS));
+    snprintf(seconds, sizeof(seconds), "%.1f", 0.2 * (1 + rnd(w, 20)));
+    control(w, path, k == 1 ? seconds : "");
+}
+
 static void
 inject(World *w, int64_t now_us)
 {
@@ -497,7 +521,7 @@
                                         "forget"};
     static const int signals[] = {SIGKILL, SIGTERM, SIGSTOP, SIGHUP};
     char path[64];
-    int k = rnd(w, 12);
+    int k = rnd(w, 14);
 
     w->faults++;
     if (k < 4) {
@@ -505,8 +529,12 @@
                   now_us);
     }
     else if (k < 6) {
-        proxy_set(&w->target_proxies[rnd(w, TARGETS)],
-                  (ProxyMode)rnd(w, PROXY_MODES));
+        int t = rnd(w, TARGETS);
+        ProxyMode mode = (ProxyMode)rnd(w, PROXY_MODES);
+        proxy_set(&w->target_proxies[t], mode);
+        snprintf(path, sizeof(path), "/test/path?u-%d", t);
+        control(w, path,
+                mode == PROXY_PASS || mode == PROXY_DELAY ? "open" : "cut");
     }
     else if (k < 8) {
         proxy_set(&w->store_proxies[rnd(w, VMS)],
@@ -523,6 +551,9 @@
     else if (k < 11) {
         change_config(w);
     }
+    else if (k < 13) {
+        give_notice(w);
+    }
     else {
         control(w,
                 rnd(w, 2) == 0 ? "/test/key?op/evacuate/west-a"
@@ -546,6 +577,14 @@
     control(w, "/test/mode?ok", "");
     put_config(w, w->version, w->added_routes);
     control(w, "/test/delete?op/evacuate/west-a", "");
+    if (!w->notices_ended) {
+        w->notices_ended = true;
+        for (int t = 0; t < TARGETS; t++) {
+            char path[64];
+            snprintf(path, sizeof(path), "/test/restart?u-%d", t);
+            control(w, path, "");
+        }
+    }
 }
 
 static void
@@ -601,6 +640,29 @@
  * other. */
 static void check_next(World *w);
 
+static void
+on_broken(void *ctx, int status, Str body, int64_t now_us)
+{
+    World *w = ctx;
+    char text[64] = "";
+    int late = -1;
+    int during = -1;
+    (void)now_us;
+
+    str_copy(text, sizeof(text), body);
+    if (status != 200 || sscanf(text, "%d %d", &late, &during) != 2) {
+        report_violation(w, "check", NULL, "no counts of notices, status %d",
+                         status);
+    }
+    if (late > 0) {
+        report_violation(w, "notice", NULL, "%d requests", late);
+    }
+    if (during > 0) {
+        report_violation(w, "wait", NULL, "%d requests", during);
+    }
+    evl_stop(w->loop);
+}
+
 static void
 on_run_count(void *ctx, int status, Str body, int64_t now_us)
 {
@@ -633,11 +695,12 @@
 {
     GString *g;
 
+    g = g_string_new(NULL);
     if (w->checked >= w->results->len) {
-        evl_stop(w->loop);
+        g_string_assign(g, "GET /test/broken HTTP/1.1\r\nHost: t\r\n\r\n");
+        kv_call(w->control, g, CALL_TIMEOUT_US, on_broken, w);
         return;
     }
-    g = g_string_new(NULL);
     g_string_printf(g, "GET /test/runs?%s HTTP/1.1\r\nHost: t\r\n\r\n",
                     g_array_index(w->results, Result, w->checked).id);
     kv_call(w->control, g, CALL_TIMEOUT_US, on_run_count, w);
