--- a/src/pick.c
+++ b/src/pick.c
@@ -83,8 +83,11 @@
 static bool
 cold_allowed(const PickIn *in, Ups *u)
 {
-    if (in->self < 0 || in->n_vms <= in->cold_vms_max) {
-        return in->self >= 0;
+    if (in->self < 0 || in->self >= in->n_vms) {
+        return false;
+    }
+    if (in->n_vms <= in->cold_vms_max) {
+        return true;
     }
     if (in->vms_version == 0 || u->cold_list_version != in->vms_version) {
         u->may_use_cold = is_cold_user(in, u);
--- a/src/px.c
+++ b/src/px.c
@@ -230,6 +230,7 @@
     Px *p = g_new0(Px, 1);
 
     p->o = *o;
+    p->self = -1;
     g_queue_init(&p->queue);
     p->queue_timer = (EvlTimer){.fn = on_queue_timer, .ctx = p};
     return p;
--- a/tests/test_cold_share.c
+++ b/tests/test_cold_share.c
@@ -86,7 +86,9 @@
     for (int vm = 0; vm < VMS; vm++) {
         Bucket bucket = {0};
         for (int i = 0; i < 100; i++) {
-            sent += sends(&w, NULL, 0, -1, &bucket, NOW + i * 10 * MS);
+            /* Whatever index the VM holds, it stands in no list. */
+            int self = vm % 2 - 1;
+            sent += sends(&w, NULL, 0, self, &bucket, NOW + i * 10 * MS);
         }
     }
     ck_assert_int_le(sent, ALLOWED_PER_S);
