--- a/src/ups.h
+++ b/src/ups.h
@@ -54,8 +54,6 @@
     struct sockaddr_storage addr;
     int slots;
     UpsState state;
-    bool said_leaving;  /* an answer announced that it leaves, see
-                           ups_observe_leaving() */
     int64_t missing_us; /* missing from discovery since; 0: not missing */
     int64_t report_us;  /* when the last report arrived */
     int64_t cold_until_us;
@@ -77,6 +75,8 @@
         observed; /* by this VM since the last ups_take_observations() */
 
     double planned_load;        /* load assigned by the plan being computed */
+    bool said_leaving;          /* an answer announced that it leaves, see
+                                   ups_observe_leaving() */
     bool may_use_cold;          /* this VM may use it while it is cold */
     uint32_t cold_list_version; /* version of the list of VMs that may_use_cold
                                    is based on; 0: none */
