--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -6,10 +6,25 @@
 #include "h1.h"
 #include "peer.h"
 #include "pf.h"
+#include "pxhead.h"
+#include "retryafter.h"
 #include "vml.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
+/* Reads what an upstream says of itself, which must be within its bounds. */
+static void
+read_notices(const H1 *h)
+{
+    Str mine = str_of("9c41");
+    int64_t wait_us = pxhead_wait_us(h, &pf_header_names, mine, 0);
+
+    if (wait_us < 0 || wait_us > RETRYAFTER_MAX_US) {
+        __builtin_trap();
+    }
+    pxhead_announces_leaving(h, &pf_header_names, mine);
+}
+
 static void
 feed(const uint8_t *data, size_t size, bool request)
 {
@@ -22,6 +37,9 @@
         if (h1_feed(&h, in, HEAD_BYTES_MAX, NULL) != H1_DONE) {
             break;
         }
+        if (!request) {
+            read_notices(&h);
+        }
         h1_next(&h);
     }
     h1_eof(&h);
