--- a/src/pick.c
+++ b/src/pick.c
@@ -336,8 +336,9 @@
     return in->may_overflow ? u : NULL;
 }
 
-int64_t
-pick_wait_us(const PickIn *in, int64_t now_us)
+/* Returns the shortest wait that upstreams of a region asked for; 0: none. */
+static int64_t
+first_wait(const PickIn *in, int region, int64_t now_us)
 {
     const GPtrArray *list = ups_of_service(in->set, in->service->id);
     int64_t first_us = 0;
@@ -345,7 +346,8 @@
     for (guint i = 0; list != NULL && i < list->len; i++) {
         const Ups *u = g_ptr_array_index(list, i);
         int64_t wait_us = u->wait_until_us - now_us;
-        if (wait_us > 0 && may_use_later(in, u, now_us) &&
+        if (wait_us > 0 && in_region(u, region) &&
+            may_use_later(in, u, now_us) &&
             (first_us == 0 || wait_us < first_us)) {
             first_us = wait_us;
         }
@@ -353,6 +355,24 @@
     return first_us;
 }
 
+int64_t
+pick_wait_us(const PickIn *in, int64_t now_us)
+{
+    return first_wait(in, RANKS_ANY_REGION, now_us);
+}
+
+/* Chooses for a request whose region has upstreams, all of which asked for a
+ * wait.  It may overflow only, as the cap on shifts holds for it. */
+static Ups *
+pick_while_waiting(const PickIn *in, int region, int64_t now_us,
+                   PickReason *why)
+{
+    Ups *u = in->may_overflow ? overflow(in, region, now_us) : NULL;
+
+    *why = u == NULL ? PICK_WAIT : PICK_OVERFLOW;
+    return u;
+}
+
 Ups *
 pick_upstream(const PickIn *in, int64_t now_us, PickReason *why)
 {
@@ -371,6 +391,9 @@
         region = split_region(in->split, in->region, unit);
     }
     int n = candidates(in, region, c, now_us);
+    if (n == 0 && region >= 0 && first_wait(in, region, now_us) > 0) {
+        return pick_while_waiting(in, region, now_us, why);
+    }
     if (n == 0 && region >= 0) {
         remote = true;
         n = candidates(in, -1, c, now_us);
--- a/src/ups.c
+++ b/src/ups.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "hash.h"
+#include "notices.h"
 
 /* Other VMs' load, as an answer reported it, counts fully up to the age
  * OTHER_LOAD_FRESH_US, then decreases to nothing at OTHER_LOAD_STALE_US.  A
@@ -32,23 +33,10 @@
 #define COLD_AGAIN_US 1000000
 #define SLOWNESS_RATIO_MAX 8.0 /* limits the influence of one answer */
 
-/* Time for which the notice of an upstream without an entry is kept: longer
- * than an outage of the store, after which entries reappear. */
-#define NOTICE_KEEP_US 3600000000LL
-
 /* Joins kept in each list, at least.  Rankings that lag behind by more are
  * rebuilt. */
 #define JOINS_KEPT 512
 
-/* What a start of an upstream said of itself. */
-typedef struct Notice {
-    uint64_t boot_ms;
-    struct sockaddr_storage addr;
-    bool leaving;
-    int64_t wait_until_us;
-    int64_t at_us;
-} Notice;
-
 struct UpsSet {
     const Topology *topology;
     uint64_t version;
@@ -58,7 +46,7 @@
     GHashTable *by_id;      /* id -> Ups */
     GHashTable *by_key;     /* hash of the id -> Ups */
     GHashTable *by_service; /* service hash -> UpsList */
-    GHashTable *notices;    /* id -> Notice */
+    Notices *notices;
     bool drained[ZONES_MAX];
     int64_t drain_ended_us[ZONES_MAX]; /* last end of a drain; 0: none */
 };
@@ -91,8 +79,7 @@
     s->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
     s->by_service =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_list);
-    s->notices =
-        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    s->notices = notices_new();
     return s;
 }
 
@@ -102,7 +89,7 @@
     g_hash_table_destroy(s->by_service);
     g_hash_table_destroy(s->by_key);
     g_hash_table_destroy(s->by_id);
-    g_hash_table_destroy(s->notices);
+    notices_free(s->notices);
     g_free(s);
 }
 
@@ -216,48 +203,20 @@
     s->version++;
 }
 
-static bool
-is_of_start(const Notice *n, uint64_t boot_ms,
-            const struct sockaddr_storage *addr)
-{
-    return n != NULL && n->boot_ms == boot_ms &&
-           memcmp(&n->addr, addr, sizeof(n->addr)) == 0;
-}
-
 /* Applies what the start of the upstream that a report names has said. */
 static void
-apply_notice(UpsSet *s, Ups *u, const UpsReport *r)
+apply_notice(const UpsSet *s, Ups *u, const UpsReport *r)
 {
-    const Notice *n = g_hash_table_lookup(s->notices, u->id);
-    bool applies = is_of_start(n, r->boot_ms, &r->addr);
+    const Notice *n = notices_find(s->notices, u->id, r->boot_ms, &r->addr);
 
-    u->said_leaving = applies && n->leaving;
-    u->wait_until_us = applies ? n->wait_until_us : 0;
+    u->said_leaving = n != NULL && n->leaving;
+    u->wait_until_us = n == NULL ? 0 : n->wait_until_us;
 }
 
-static gboolean
-notice_expired(gpointer id, gpointer notice, gpointer now_us)
-{
-    (void)id;
-    return *(const int64_t *)now_us - ((const Notice *)notice)->at_us >
-           NOTICE_KEEP_US;
-}
-
-/* Returns the notice of the upstream's start, which is added if needed. */
 static Notice *
-get_notice(UpsSet *s, const Ups *u, int64_t now_us)
+change_notice(UpsSet *s, const Ups *u, int64_t now_us)
 {
-    Notice *n = g_hash_table_lookup(s->notices, u->id);
-
-    if (!is_of_start(n, u->boot_ms, &u->addr)) {
-        g_hash_table_foreach_remove(s->notices, notice_expired, &now_us);
-        n = g_new0(Notice, 1);
-        n->boot_ms = u->boot_ms;
-        n->addr = u->addr;
-        g_hash_table_replace(s->notices, g_strdup(u->id), n);
-    }
-    n->at_us = now_us;
-    return n;
+    return notices_change(s->notices, u->id, u->boot_ms, &u->addr, now_us);
 }
 
 /* Returns the upstream in the list, which is another one if the entry was lost
@@ -284,7 +243,7 @@
     if (u->said_leaving) {
         return false;
     }
-    get_notice(s, u, now_us)->leaving = true;
+    change_notice(s, u, now_us)->leaving = true;
     mark_leaving(s, u);
     mark_leaving(s, listed(s, u));
     return true;
@@ -293,7 +252,7 @@
 void
 ups_observe_wait(UpsSet *s, Ups *u, int64_t wait_us, int64_t now_us)
 {
-    Notice *n = get_notice(s, u, now_us);
+    Notice *n = change_notice(s, u, now_us);
 
     n->wait_until_us = MAX(n->wait_until_us, now_us + wait_us);
     u->wait_until_us = n->wait_until_us;
--- a/tests/test_notice.c
+++ b/tests/test_notice.c
@@ -144,6 +144,35 @@
 }
 END_TEST
 
+/* Guards against a shift beyond the cap when all upstreams of a region ask for
+ * a wait: their requests may overflow, but not move as if the region had no
+ * upstream. */
+START_TEST(a_waiting_region_moves_no_more_than_may_overflow)
+{
+    World w;
+    PickReason why;
+    UpsReport r = {.id = str_of("far"),
+                   .service = str_of("desk"),
+                   .zone = str_of("b"),
+                   .slots = 4};
+
+    world_init(&w);
+    topology_add(&w.topology, str_of("b"), str_of("west"));
+    ups_report(w.set, &r, NOW);
+    PickIn in = pick_in(&w);
+    in.max_rtt_us = S;
+    ups_observe_wait(w.set, find(&w, "u"), 5 * S, NOW);
+    ups_observe_wait(w.set, find(&w, "v"), 2 * S, NOW);
+    ck_assert_ptr_null(pick_upstream(&in, NOW + S, &why));
+    ck_assert_int_eq(why, PICK_WAIT);
+    ck_assert_int_eq(pick_wait_us(&in, NOW + S), S);
+    in.may_overflow = true;
+    ck_assert_ptr_eq(pick_upstream(&in, NOW + S, &why), find(&w, "far"));
+    ck_assert_int_eq(why, PICK_OVERFLOW);
+    ups_free(w.set);
+}
+END_TEST
+
 /* Guards against a wait that holds for a new start of the upstream, and one
  * that is lost with its entry. */
 START_TEST(a_wait_belongs_to_one_start)
@@ -264,5 +293,6 @@
 
 T_MAIN("notice", a_notice_of_leaving_stands_until_a_restart,
        a_notice_reaches_the_entry_that_was_written_again, a_wait_is_kept,
+       a_waiting_region_moves_no_more_than_may_overflow,
        a_wait_belongs_to_one_start, only_own_responses_give_notice,
        retry_after_is_read_and_bounded)
