--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -11,7 +11,7 @@
 
 static const PxHeaderNames names = {"X-Attempt", "X-Object", "X-Left",
                                     "X-Want",    "X-Seal",   "X-NotRun",
-                                    "X-Load"};
+                                    "X-Load",    "X-Leaving"};
 
 static H1State
 feed(H1 *h, GByteArray *in, const char *text)
