--- a/tests/platform_notice.sh
+++ b/tests/platform_notice.sh
@@ -85,4 +85,32 @@
 check all_busy "$(ask 1 l1 /write/x/ok -w '%{http_code} %{time_total}' | sed 's/ 0\.[01].*/ at once/')" "503 at once"
 check all_busy_retry "$(tr -d '\r' <"$dir/head" | grep -ci '^retry-after: [123]\.')" 1
 check all_busy_arrived "$(($(arrived u-1) + $(arrived u-2)))" "$seen"
+
+# Guards against a target that asks ten VMs for a wait and gets more than two
+# requests from one of them, or is never asked again by one.
+control '/test/well?u-1'
+control '/test/well?u-2'
+for v in 2 3 4 5 6 7 8 9 10; do
+    settings $v west-a
+    start_vm $v
+done
+for v in 2 3 4 5 6 7 8 9 10; do
+    wait_for "http://127.0.0.1:$((port + 100 * v + 2))/api/readyz" 200
+done
+sleep 4.5 # until the waits that VM 1 was asked for are over
+control '/test/busy?u-1' 4
+seen=$(arrived u-1)
+asked=
+for v in 1 2 3 4 5 6 7 8 9 10; do
+    for k in 1 2 3 4 5 6 7 8 1 2 3 4 5 6 7 8; do
+        ask $v "m$v-$k" /write/x/ok
+        echo
+    done >"$dir/ten-$v" &
+    asked="$asked $!"
+done
+# shellcheck disable=SC2086
+wait $asked
+check ten_served "$(cat "$dir"/ten-* | grep -c 200)" 160
+[ $(($(arrived u-1) - seen)) -le 30 ] || check ten_arrived "$(($(arrived u-1) - seen))" "at most 30"
+[ $(($(arrived u-1) - seen)) -ge 10 ] || check ten_asked "$(($(arrived u-1) - seen))" "10 or more"
 finish
