--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -427,74 +427,93 @@
     return NULL;
 }
 
-static void
-on_control(Platform *p, Caller *c, const char *path, const H1 *req)
+/* Answers a call that asks for counts; returns false if it asks for none. */
+static bool
+format_counts(Platform *p, const char *what, const char *arg, char *out,
+              size_t cap)
 {
-    const char *q = strchr(path, '?');
-    char out[32];
+    const Target *t = find_target(p, arg);
 
-    q = q == NULL ? "" : q + 1;
-    if (g_str_has_prefix(path, "/test/key?")) {
-        put_bytes(p, q, req->body->data, req->body->len);
+    if (strcmp(what, "runs") == 0) {
+        snprintf(out, cap, "%d\n",
+                 GPOINTER_TO_INT(g_hash_table_lookup(p->runs, arg)));
     }
-    else if (g_str_has_prefix(path, "/test/delete?")) {
-        put(p, q, NULL, 0);
+    else if (strcmp(what, "broken") == 0) {
+        snprintf(out, cap, "%d %d\n", p->late_after_notice, p->during_wait);
     }
-    else if (g_str_has_prefix(path, "/test/mode?")) {
-        for (int i = 0; i < (int)G_N_ELEMENTS(mode_names); i++) {
-            if (strcmp(q, mode_names[i]) == 0) {
-                p->mode = (Mode)i;
-            }
-        }
+    else if (strcmp(what, "arrived") == 0) {
+        snprintf(out, cap, "%d\n", t == NULL ? 0 : t->arrived);
     }
-    else if (g_str_has_prefix(path, "/test/runs?")) {
-        snprintf(out, sizeof(out), "%d\n",
-                 GPOINTER_TO_INT(g_hash_table_lookup(p->runs, q)));
-        respond(c, 200, out);
-        return;
+    else if (strcmp(what, "served") == 0) {
+        snprintf(out, cap, "%d\n", t == NULL ? 0 : t->served);
     }
-    else if (strcmp(path, "/test/broken") == 0) {
-        char text[64];
-        snprintf(text, sizeof(text), "%d %d\n", p->late_after_notice,
-                 p->during_wait);
-        respond(c, 200, text);
-        return;
+    else {
+        return false;
     }
-    else if (g_str_has_prefix(path, "/test/served?") ||
-             g_str_has_prefix(path, "/test/arrived?")) {
-        const Target *t = find_target(p, q);
-        bool served = path[strlen("/test/")] == 's';
-        int n = t == NULL ? 0 : served ? t->served : t->arrived;
-        snprintf(out, sizeof(out), "%d\n", n);
-        respond(c, 200, out);
+    return true;
+}
+
+/* Changes what a target says in its responses, or the path to it. */
+static void
+change_target(Target *t, const char *what, Str body)
+{
+    bool restart = strcmp(what, "restart") == 0;
+
+    if (strcmp(what, "path") == 0) {
+        t->path_cut = str_eqz(body, "cut");
+        g_hash_table_remove_all(t->told);
         return;
     }
-    else if (g_str_has_prefix(path, "/test/leaving?") ||
-             g_str_has_prefix(path, "/test/busy?") ||
-             g_str_has_prefix(path, "/test/well?") ||
-             g_str_has_prefix(path, "/test/restart?") ||
-             g_str_has_prefix(path, "/test/path?")) {
-        Target *t = find_target(p, q);
-        if (t != NULL && path[strlen("/test/")] == 'p') {
-            t->path_cut = req->body->len > 0 && req->body->data[0] == 'c';
-            g_hash_table_remove_all(t->told);
-            t = NULL;
-        }
-        if (t != NULL && path[strlen("/test/")] == 'r') {
-            t->boot_ms++;
-            g_hash_table_remove_all(t->told);
-            char *key = g_strdup_printf("servers/%s", t->id);
-            put(p, key, NULL, 0); /* the next report writes it */
-            g_free(key);
-        }
-        if (t != NULL) {
-            t->leaving = path[strlen("/test/")] == 'l';
-            t->retry_after[0] = '\0';
-            str_copy(t->retry_after, sizeof(t->retry_after),
-                     (Str){(const char *)req->body->data, req->body->len});
+    if (restart) {
+        char *key = g_strdup_printf("servers/%s", t->id);
+        t->boot_ms++;
+        g_hash_table_remove_all(t->told);
+        put(t->p, key, NULL, 0); /* the next report writes it */
+        g_free(key);
+    }
+    if (restart || strcmp(what, "leaving") == 0 || strcmp(what, "busy") == 0 ||
+        strcmp(what, "well") == 0) {
+        t->leaving = strcmp(what, "leaving") == 0;
+        t->retry_after[0] = '\0';
+        str_copy(t->retry_after, sizeof(t->retry_after), body);
+    }
+}
+
+static void
+set_mode(Platform *p, const char *name)
+{
+    for (int i = 0; i < (int)G_N_ELEMENTS(mode_names); i++) {
+        if (strcmp(name, mode_names[i]) == 0) {
+            p->mode = (Mode)i;
         }
     }
-    respond(c, 200, "{}");
+}
+
+/* call: target of the request without "/test/". */
+static void
+on_control(Platform *p, Caller *c, const char *call, const H1 *req)
+{
+    char **parts = g_strsplit(call, "?", 2);
+    const char *what = parts[0];
+    const char *arg = parts[1] == NULL ? "" : parts[1];
+    Str body = {(const char *)req->body->data, req->body->len};
+    Target *t = find_target(p, arg);
+    char out[64] = "{}";
+
+    if (strcmp(what, "key") == 0) {
+        put_bytes(p, arg, body.p, body.n);
+    }
+    else if (strcmp(what, "delete") == 0) {
+        put(p, arg, NULL, 0);
+    }
+    else if (strcmp(what, "mode") == 0) {
+        set_mode(p, arg);
+    }
+    else if (!format_counts(p, what, arg, out, sizeof(out)) && t != NULL) {
+        change_target(t, what, body);
+    }
+    respond(c, 200, out);
+    g_strfreev(parts);
 }
 
 static void
@@ -504,7 +523,7 @@
     char *path = g_strndup(req->target.p, req->target.n);
 
     if (g_str_has_prefix(path, "/test/")) {
-        on_control(p, c, path, req);
+        on_control(p, c, path + strlen("/test/"), req);
     }
     else if (p->mode == MODE_BUSY || p->mode == MODE_REFUSE) {
         respond(c, p->mode == MODE_BUSY ? 503 : 429, "{}");
