--- a/tests/soak_edge.c
+++ b/tests/soak_edge.c
@@ -431,11 +431,12 @@
                     "X-Mimosascale-Attempt-Id: %s\r\n"
                     "X-Mimosascale-Affinity-Key: %d\r\n"
                     "X-Mimosascale-Deadline-Ms: 3000\r\n"
-                    "%s: %d-%d-%d\r\n%s: %" G_GINT64_FORMAT "\r\n%s\r\n%s",
+                    "X-Test-Vm: %d-%d-%d\r\n"
+                    "X-Test-Sent-Us: %" G_GINT64_FORMAT "\r\n%s\r\n%s",
                     c->non_idempotent ? "POST" : "GET", route, rnd(w, 40),
-                    c->behaviour, c->id, rnd(w, 40), "X-Test-Vm", c->vm,
-                    (int)c->pid, w->vms[c->vm].n_paused, "X-Test-Sent-Us",
-                    now_us, c->non_idempotent ? "Content-Length: 4\r\n" : "",
+                    c->behaviour, c->id, rnd(w, 40), c->vm, (int)c->pid,
+                    w->vms[c->vm].n_paused, now_us,
+                    c->non_idempotent ? "Content-Length: 4\r\n" : "",
                     c->non_idempotent ? "work" : "");
     kv_call(c->conn, g, CALL_TIMEOUT_US, on_response, c);
 }
@@ -583,6 +584,8 @@
             char path[64];
             snprintf(path, sizeof(path), "/test/restart?u-%d", t);
             control(w, path, "");
+            snprintf(path, sizeof(path), "/test/path?u-%d", t);
+            control(w, path, "open");
         }
     }
 }
