Log each step of a crash from the lost answer to the refusal

Change: part=crash lines with the fingerprint, which request lines now carry too, and counters of each step. First crashes of a fingerprint are limited to 20 lines a second and kind, as most belong to requests in flight beside the one that matters.

--- a/src/crash.c
+++ b/src/crash.c
@@ -1,6 +1,9 @@
 /* crash - requests that crash the upstreams that run them.  See crash.h. */
 #include "crash.h"
 
+#include <inttypes.h>
+
+#include "bucket.h"
 #include "hash.h"
 
 #define ENTRIES_MAX 512
@@ -9,6 +12,9 @@
 #define DOWN_LEAD_US 200000
 #define CONFIRM_US 5000000 /* limit for finding the upstream down */
 #define SEND_COUNT 4       /* heartbeats that include one crash */
+/* Lines about the first crash of a fingerprint.  Most of these belong to
+ * requests that were in flight beside the one that causes the crash. */
+#define FIRST_CRASH_LINES_PER_S 20.0
 
 typedef struct Entry {
     uint64_t fingerprint;
@@ -20,15 +26,33 @@
     int n_sent;
 } Entry;
 
+typedef enum Count {
+    COUNT_LOST,
+    COUNT_CONFIRMED,
+    COUNT_UNCONFIRMED,
+    COUNT_SENT,
+    COUNT_RECEIVED,
+    COUNT_DROPPED,
+    COUNTS
+} Count;
+
+static const char *const count_names[COUNTS] = {
+    "lost_answers", "confirmed", "unconfirmed", "sent", "received", "dropped"};
+
 struct Crashes {
-    GArray *entries; /* Entry */
+    Dlog *log;
+    Bucket lines[COUNTS];
+    int unlogged[COUNTS]; /* events since the last line of their kind */
+    GArray *entries;      /* Entry */
+    int64_t counts[COUNTS];
 };
 
 Crashes *
-crash_new(void)
+crash_new(const CrashOpts *o)
 {
     Crashes *c = g_new0(Crashes, 1);
 
+    c->log = o->log;
     c->entries = g_array_new(FALSE, TRUE, sizeof(Entry));
     return c;
 }
@@ -68,6 +92,55 @@
     return hash_mix(h, hash_str(body, 4));
 }
 
+static int
+count_confirmed(const Crashes *c, uint64_t fingerprint)
+{
+    int n = 0;
+
+    for (guint i = 0; i < c->entries->len; i++) {
+        const Entry *x = entry_at(c, i);
+        n += x->fingerprint == fingerprint && x->confirmed ? 1 : 0;
+    }
+    return n;
+}
+
+/* Counts an event and logs it.  Lines are limited while the fingerprint has
+ * met no more than one crash. */
+static void
+note(Crashes *c, Count what, const Entry *x, const char *event, int64_t now_us)
+{
+    int n = count_confirmed(c, x->fingerprint);
+
+    c->counts[what]++;
+    if (c->log == NULL) {
+        return;
+    }
+    if (n < 2 && !bucket_take(&c->lines[what], FIRST_CRASH_LINES_PER_S,
+                              FIRST_CRASH_LINES_PER_S, now_us)) {
+        c->unlogged[what]++;
+        return;
+    }
+    dlog_event(c->log, DLOG_INFO, "crash",
+               "event=%s fingerprint=%016" PRIx64 " crash=%016" PRIx64
+               " upstream=%s age_ms=%" PRId64 " crashes=%d unlogged=%d",
+               event, x->fingerprint, x->id, x->u == NULL ? "-" : x->u->id,
+               (now_us - x->at_us) / 1000, n, c->unlogged[what]);
+    c->unlogged[what] = 0;
+}
+
+/* Returns how the upstream of an entry was found down, or NULL. */
+static const char *
+confirmation(const Entry *x)
+{
+    if (x->u->connect_failed_us >= x->at_us - DOWN_LEAD_US) {
+        return "confirmed_connect_failed";
+    }
+    if (x->u->boot_ms != x->boot_ms) {
+        return "confirmed_restarted";
+    }
+    return x->u->state == UPS_GONE ? "confirmed_gone" : NULL;
+}
+
 /* Confirms entries whose upstream went down or restarted, and drops expired
  * ones. */
 static void
@@ -76,12 +149,16 @@
     for (guint i = c->entries->len; i-- > 0;) {
         Entry *x = entry_at(c, i);
         int64_t age = now_us - x->at_us;
-        if (!x->confirmed && x->u != NULL) {
-            x->confirmed =
-                x->u->connect_failed_us >= x->at_us - DOWN_LEAD_US ||
-                x->u->boot_ms != x->boot_ms || x->u->state == UPS_GONE;
+        const char *how = x->confirmed ? NULL : confirmation(x);
+        if (how != NULL) {
+            x->confirmed = true;
+            note(c, COUNT_CONFIRMED, x, how, now_us);
         }
-        if (age > RETAIN_US || (!x->confirmed && age > CONFIRM_US)) {
+        if (!x->confirmed && age > CONFIRM_US) {
+            note(c, COUNT_UNCONFIRMED, x, "not_confirmed", now_us);
+            drop(c, i);
+        }
+        else if (age > RETAIN_US) {
             drop(c, i);
         }
     }
@@ -99,12 +176,19 @@
     return false;
 }
 
-static void
-add(Crashes *c, const Entry *x)
+/* Returns false if the entry is known or there is no space. */
+static bool
+add(Crashes *c, const Entry *x, int64_t now_us)
 {
-    if (c->entries->len < ENTRIES_MAX && !contains(c, x->fingerprint, x->id)) {
-        g_array_append_val(c->entries, *x);
+    if (contains(c, x->fingerprint, x->id)) {
+        return false;
     }
+    if (c->entries->len >= ENTRIES_MAX) {
+        note(c, COUNT_DROPPED, x, "dropped_table_full", now_us);
+        return false;
+    }
+    g_array_append_val(c->entries, *x);
+    return true;
 }
 
 void
@@ -117,10 +201,9 @@
                .at_us = now_us};
 
     review(c, now_us);
-    guint before = c->entries->len;
-    add(c, &x);
-    if (c->entries->len > before) {
+    if (add(c, &x, now_us)) {
         ups_ref(u);
+        note(c, COUNT_LOST, &x, "answer_lost", now_us);
     }
 }
 
@@ -132,23 +215,19 @@
                .at_us = now_us,
                .confirmed = true};
 
-    add(c, &x);
+    if (add(c, &x, now_us)) {
+        note(c, COUNT_RECEIVED, &x, "received", now_us);
+    }
 }
 
 bool
 crash_should_refuse(Crashes *c, uint64_t fingerprint, int64_t now_us)
 {
-    int n = 0;
-
     if (c->entries->len == 0) {
         return false;
     }
     review(c, now_us);
-    for (guint i = 0; i < c->entries->len; i++) {
-        const Entry *x = entry_at(c, i);
-        n += x->fingerprint == fingerprint && x->confirmed ? 1 : 0;
-    }
-    return n >= CRASH_LIMIT;
+    return count_confirmed(c, fingerprint) >= CRASH_LIMIT;
 }
 
 int
@@ -160,9 +239,21 @@
     for (guint i = 0; i < c->entries->len && n < max; i++) {
         Entry *x = entry_at(c, i);
         if (x->confirmed && x->n_sent < SEND_COUNT) {
-            x->n_sent++;
+            if (x->n_sent++ == 0) {
+                note(c, COUNT_SENT, x, "sent", now_us);
+            }
             out[n++] = (CrashUpdate){x->fingerprint, x->id};
         }
     }
     return n;
 }
+
+void
+crash_metrics(const Crashes *c, GString *out)
+{
+    for (int i = 0; i < COUNTS; i++) {
+        g_string_append_printf(out, "edge_crashes_%s_total %" PRId64 "\n",
+                               count_names[i], c->counts[i]);
+    }
+    g_string_append_printf(out, "edge_crashes_kept %u\n", c->entries->len);
+}
--- a/src/crash.h
+++ b/src/crash.h
@@ -16,6 +16,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "dlog.h"
 #include "str.h"
 #include "ups.h"
 
@@ -30,7 +31,11 @@
     uint64_t id; /* of the crash: hash of the upstream and its start */
 } CrashUpdate;
 
-Crashes *crash_new(void);
+typedef struct CrashOpts {
+    Dlog *log; /* NULL: no lines */
+} CrashOpts;
+
+Crashes *crash_new(const CrashOpts *o);
 void crash_free(Crashes *c);
 
 /* Fingerprint of a request; equal when the request is repeated. */
@@ -52,4 +57,8 @@
  * count. */
 int crash_updates(Crashes *c, CrashUpdate *out, int max, int64_t now_us);
 
+/* Appends the counters: lost answers, crashes confirmed, not confirmed, sent,
+ * received and dropped; entries kept. */
+void crash_metrics(const Crashes *c, GString *out);
+
 #endif
--- a/src/edge.c
+++ b/src/edge.c
@@ -318,7 +318,7 @@
     };
     g->demand = demand_new(&dopt);
     g->plan = plan_new(topo->n_regions);
-    g->crashes = crash_new();
+    g->crashes = crash_new(&(CrashOpts){.log = g->log});
     PxOpts po = {
         .loop = g->loop,
         .log = g->log,
--- a/src/edge_listen.c
+++ b/src/edge_listen.c
@@ -48,6 +48,7 @@
     MirrorCounts mc = mirror_counts(g->mirror);
 
     px_metrics(g->px, t);
+    crash_metrics(g->crashes, t);
     g_string_append_printf(
         t,
         "edge_config_version %" PRIu64 "\nedge_vms %d\n"
--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -16,7 +16,7 @@
     }
     dlog_event(p->o.log, DLOG_INFO, "request",
                "id=%s event=%s status=%d route=%s config=%" PRIu64
-               " service=%s rank=%d object=%" PRIx64
+               " service=%s rank=%d object=%" PRIx64 " fingerprint=%016" PRIx64
                " upstream=%s pick=%s attempts=%d ran=%d "
                "load=%.1f slots=%d load_age_ms=%" PRId64 " took_ms=%" PRId64
                " left_ms=%" PRId64 " target_ms=%" PRId64 " sent_ms=%" PRId64
@@ -24,9 +24,9 @@
                dlog_name(r->attempt).s, outcome, status,
                dlog_name(str_of(r->route->name)).s, rt_version(r->table),
                dlog_name(str_of(r->service->name)).s, r->route->rank,
-               r->object, u == NULL ? "-" : u->id, pick_reason_name(r->why),
-               r->n_tried, r->ran ? 1 : 0, u == NULL ? 0 : ups_load(u, now_us),
-               u == NULL ? 0 : u->slots,
+               r->object, r->fingerprint, u == NULL ? "-" : u->id,
+               pick_reason_name(r->why), r->n_tried, r->ran ? 1 : 0,
+               u == NULL ? 0 : ups_load(u, now_us), u == NULL ? 0 : u->slots,
                u == NULL ? 0 : (now_us - u->other_load_at_us) / 1000,
                (now_us - r->begin_us) / 1000, (r->end_us - now_us) / 1000,
                r->route->latency_target_us / 1000,
--- a/tests/px_world.h
+++ b/tests/px_world.h
@@ -135,7 +135,7 @@
                        .retry_window_us = S};
     w->demand = demand_new(&dopt);
     w->plan = plan_new(1);
-    w->crashes = crash_new();
+    w->crashes = crash_new(&(CrashOpts){0});
     w->rnd = g_rand_new_with_seed(1);
     w->log = dlog_new(&lo);
     PxOpts po = {.loop = w->loop,
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -3,6 +3,7 @@
 #include "t.h"
 
 #include <string.h>
+#include <unistd.h>
 
 #include "crash.h"
 #include "hash.h"
@@ -29,7 +30,7 @@
  * callers repeat it at several VMs. */
 START_TEST(crashing_request_is_refused_by_all_vms)
 {
-    Crashes *vm[2] = {crash_new(), crash_new()};
+    Crashes *vm[2] = {crash_new(&(CrashOpts){0}), crash_new(&(CrashOpts){0})};
     uint64_t fingerprint = crash_fingerprint(str_of("GET"), str_of("/a"),
                                              str_of("7"), str_of(""));
     CrashUpdate updates[8];
@@ -62,7 +63,7 @@
  * while the upstream was up, or they were in flight at a single crash. */
 START_TEST(lost_answers_alone_cause_no_refusal)
 {
-    Crashes *c = crash_new();
+    Crashes *c = crash_new(&(CrashOpts){0});
     Ups *u = upstream(1);
 
     for (int i = 0; i < 50; i++) {
@@ -81,6 +82,56 @@
 }
 END_TEST
 
+static char *
+read_log(int fd)
+{
+    char buf[32768];
+    ssize_t n = read(fd, buf, sizeof(buf) - 1);
+
+    ck_assert_int_gt(n, 0);
+    buf[n] = '\0';
+    return g_strdup(buf);
+}
+
+/* Guards against crashes that are counted, confirmed, sent, received or
+ * dropped without a log line. */
+START_TEST(each_step_of_a_crash_has_a_log_line)
+{
+    static const char *const steps[] = {
+        "event=answer_lost",   "event=confirmed_connect_failed",
+        "event=not_confirmed", "event=sent",
+        "event=received",      "event=dropped_table_full"};
+    int fds[2];
+    CrashUpdate sent[4];
+    Ups *down = upstream(1);
+    Ups *up = upstream(2);
+
+    ck_assert_int_eq(pipe(fds), 0);
+    Dlog *log = dlog_new(&(DlogOpts){fds[1], 100, 65536});
+    Crashes *c = crash_new(&(CrashOpts){.log = log});
+    crash_response_lost(c, 7, down, NOW);
+    crash_response_lost(c, 7, up, NOW);
+    ups_observe_connect_failure(down, NOW + 100 * MS);
+    ck_assert_int_eq(crash_updates(c, sent, 4, NOW + S), 1);
+    ck_assert_int_eq(crash_updates(c, sent, 4, NOW + 6 * S), 1);
+    for (uint64_t i = 0; i < 4096; i++) {
+        crash_receive(c, &(CrashUpdate){i, i}, NOW + 6 * S);
+    }
+    dlog_flush(log);
+    char *text = read_log(fds[0]);
+    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+        ck_assert_msg(strstr(text, steps[i]) != NULL, "no %s", steps[i]);
+    }
+    g_free(text);
+    crash_free(c);
+    dlog_free(log);
+    close(fds[0]);
+    close(fds[1]);
+    ups_unref(up);
+    ups_unref(down);
+}
+END_TEST
+
 /* Guards against heartbeats whose fields are lost or changed by the encoding,
  * and against accepting truncated ones. */
 START_TEST(heartbeat_encoding_round_trip)
@@ -174,5 +225,6 @@
 END_TEST
 
 T_MAIN("crash", crashing_request_is_refused_by_all_vms,
-       lost_answers_alone_cause_no_refusal, heartbeat_encoding_round_trip,
+       lost_answers_alone_cause_no_refusal,
+       each_step_of_a_crash_has_a_log_line, heartbeat_encoding_round_trip,
        directory_names_nearest_live_vms, round_trip_estimate_rises_slowly)
