Refuse queued requests when the verdict on them comes

What callers saw: a request that was queued when it was found to crash upstreams was still sent to one more.

Cause: the verdict was asked for on arrival only. It is now asked for each time that a queued request may be sent.

Result: test_px_crash a_queued_request_is_refused_when_the_verdict_comes failed before (the upstream got the request), passes now.

--- a/src/px.c
+++ b/src/px.c
@@ -61,6 +61,11 @@
         pxreq_apply_outcome(r, OUT_NOT_RUN, now_us);
         return;
     }
+    /* The verdict may have come while it was queued. */
+    if (crash_should_refuse(r->p->o.crashes, r->fingerprint, now_us)) {
+        pxreq_respond(r, PX_CRASHES, 503, "crashes_upstreams", 0, now_us);
+        return;
+    }
     if (now_us < r->p->view_wait_us) {
         enqueue(r, now_us);
         return;
@@ -140,10 +145,6 @@
     r->fingerprint = crash_fingerprint(
         h1_method(head), head->target, object,
         (Str){(const char *)head->body->data, head->body->len});
-    if (crash_should_refuse(p->o.crashes, r->fingerprint, now_us)) {
-        pxreq_respond(r, PX_CRASHES, 503, "crashes_upstreams", 0, now_us);
-        return;
-    }
     if (gate_outlives_stop(&p->stop, r->last_us, now_us)) {
         pxreq_respond(r, PX_REFUSED, 503, "leaving", RETRY_SHUTDOWN_US,
                       now_us);
