Connect to an upstream that lost an answer to see whether it is down

What callers saw: crashes were not counted, or late, so that a request that crashes upstreams reached more of them.

Cause: a crash counts once the upstream is found down, and a VM that has no further request for it does not connect to it; others may have told it to avoid that upstream.

Change: the VM opens a connection, at most one each 500 ms and upstream, which later requests use if the upstream is up.

Result: test_px_crash a_crash_is_confirmed_without_another_request failed before (0 confirmed), passes now.

--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -23,7 +23,8 @@
  * indicates that its upstream is slow or unresponsive.  A request at an
  * upstream that is cold takes about 3 times the usual. */
 #define OVERDUE_FACTOR 4.0
-#define COLD_VMS 4 /* VMs that may use one cold upstream */
+#define CHECK_INTERVAL_US 500000 /* between checks whether it is down */
+#define COLD_VMS 4               /* VMs that may use one cold upstream */
 
 /* A request may overflow to another region if it can be served there before
  * its deadline. */
@@ -137,6 +138,20 @@
     pxtry_start(r, next, now_us);
 }
 
+/* Connects to an upstream that lost an answer, as it may be down and this VM
+ * may have no further request for it.  The connection is kept for later
+ * requests. */
+static void
+check_upstream(const Req *r, int64_t now_us)
+{
+    Ups *u = r->u;
+
+    if (u->checked_us == 0 || now_us - u->checked_us >= CHECK_INTERVAL_US) {
+        u->checked_us = now_us;
+        uconn_open_spare(r->p->o.pool, u);
+    }
+}
+
 /* Retries or ends the request after an attempt ended.  Closes r->conn unless
  * the connection was released before and r->conn is NULL. */
 static void
@@ -147,6 +162,7 @@
 
     if (end == UP_LOST) {
         crash_response_lost(r->p->o.crashes, r->fingerprint, r->u, now_us);
+        check_upstream(r, now_us);
     }
     pxreq_drop_upstream(r);
     r->n_delivered += received ? 1 : 0;
