Count crashes after a request was abandoned

What callers saw: a request that crashes upstreams reached more of them when its callers left, or its time ended, shortly before each crash.

Cause: only an attempt that lost its answer while the request waited for it was recorded.

Result: test_px_crash a_crash_after_the_caller_left_is_counted failed before (0 confirmed), passes now.

--- a/src/px.c
+++ b/src/px.c
@@ -201,7 +201,7 @@
 
     p->counts[PX_CALLER_DISCONNECTED]++;
     pxreq_log(r, "caller_left", 0, now_us);
-    pxreq_end(r);
+    pxreq_end(r, now_us);
 }
 
 static void
--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -49,9 +49,14 @@
 }
 
 void
-pxreq_drop_upstream(Req *r)
+pxreq_drop_upstream(Req *r, int64_t now_us)
 {
     if (r->conn != NULL) {
+        /* The upstream may run the request, and crash, although nobody waits
+         * for the response. */
+        if (r->may_run && uconn_connected(r->conn)) {
+            crash_response_lost(r->p->o.crashes, r->fingerprint, r->u, now_us);
+        }
         uconn_cancel(r->conn);
         r->conn = NULL;
     }
@@ -71,11 +76,11 @@
 }
 
 void
-pxreq_end(Req *r)
+pxreq_end(Req *r, int64_t now_us)
 {
     pxreq_dequeue(r);
     evl_disarm(r->p->o.loop, &r->timer);
-    pxreq_drop_upstream(r);
+    pxreq_drop_upstream(r, now_us);
     evl_defer(r->p->o.loop, free_req, r);
 }
 
@@ -88,7 +93,7 @@
     r->p->counts[count]++;
     pxreq_log(r, text, status, now_us);
     caller_set_user(c, NULL);
-    pxreq_end(r);
+    pxreq_end(r, now_us);
     caller_respond_text(c, status, text, retry_us);
 }
 
@@ -131,7 +136,7 @@
         r->p->counts[PX_TRUNCATED]++;
         pxreq_log(r, "cut", 0, now_us);
         caller_set_user(c, NULL);
-        pxreq_end(r);
+        pxreq_end(r, now_us);
         caller_abort(c);
         break;
     }
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -33,6 +33,7 @@
     int64_t sent_us; /* start of the current attempt at an upstream */
     Ups *u;          /* upstream of the running attempt, or NULL */
     Uconn *conn;
+    bool may_run;  /* the current upstream may run the request */
     bool new_conn; /* the last attempt waited for a new connection */
     Ups *tried[PICK_TRIED_MAX]; /* upstreams of all attempts, in order */
     int n_tried;
@@ -84,14 +85,15 @@
 /* Logs how the request ended. */
 void pxreq_log(const Req *r, const char *outcome, int status, int64_t now_us);
 
-/* Cancels the running attempt, if any, and releases its upstream. */
-void pxreq_drop_upstream(Req *r);
+/* Cancels the running attempt, if any, whose response then counts as lost, and
+ * releases its upstream. */
+void pxreq_drop_upstream(Req *r, int64_t now_us);
 
 /* Removes the request from the queue for capacity, if it is there. */
 void pxreq_dequeue(Req *r);
 
 /* Ends the request; leaves the caller's connection as it is. */
-void pxreq_end(Req *r);
+void pxreq_end(Req *r, int64_t now_us);
 
 /* Sends a response of the system itself and ends the request. */
 void pxreq_respond(Req *r, PxCount count, int status, const char *text,
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -161,10 +161,10 @@
     Ups *next = NULL;
 
     if (end == UP_LOST) {
-        crash_response_lost(r->p->o.crashes, r->fingerprint, r->u, now_us);
         check_upstream(r, now_us);
     }
-    pxreq_drop_upstream(r);
+    r->may_run = received && end != UP_NOT_RUN;
+    pxreq_drop_upstream(r, now_us);
     r->n_delivered += received ? 1 : 0;
     r->ran = r->ran || (received && end != UP_NOT_RUN);
     OutcomeIn in = {end, r->route->idempotent, r->ran, true};
@@ -222,7 +222,7 @@
     g_string_free(head, TRUE);
     uconn_release(r->conn);
     r->conn = NULL;
-    pxreq_end(r);
+    pxreq_end(r, now_us);
 }
 
 /* Abandons an upstream that sends something other than the response to this
@@ -281,7 +281,7 @@
         uconn_release(r->conn);
         r->conn = NULL;
         caller_set_user(c, NULL);
-        pxreq_end(r);
+        pxreq_end(r, now_us);
         caller_end(c);
         return;
     }
@@ -417,8 +417,7 @@
         evl_arm(r->p->o.loop, &r->timer, r->end_us);
         return;
     }
-    crash_response_lost(r->p->o.crashes, r->fingerprint, r->u, now_us);
-    pxreq_drop_upstream(r);
+    pxreq_drop_upstream(r, now_us);
     r->n_delivered++;
     r->ran = true;
     start_retry(r, next, true, now_us);
@@ -493,6 +492,7 @@
     }
     r->u = u;
     r->state = REQ_SENT;
+    r->may_run = true;
     r->sent_us = now_us;
     r->new_conn = !uconn_connected(r->conn);
     u->inflight++;
--- a/tests/test_px_crash.c
+++ b/tests/test_px_crash.c
@@ -86,5 +86,28 @@
 }
 END_TEST
 
+/* Guards against a crash that is not counted, as the caller left or its time
+ * ended before the upstream crashed. */
+START_TEST(a_crash_after_the_caller_left_is_counted)
+{
+    World w;
+
+    world_init(&w, false, 100);
+    int caller = world_ask(&w, "a", 1500);
+    world_run(&w, SETTLE_US);
+    int fd = take_request(&w);
+    close(caller);
+    world_run(&w, SETTLE_US);
+    close(w.listener);
+    close(fd);
+    ups_observe_connect_failure(w.u, evl_now(w.loop));
+    crash_step(w.crashes, evl_now(w.loop));
+    ck_assert_int_eq(counter(&w, "confirmed"), 1);
+    restart_listener(&w);
+    world_clear(&w);
+}
+END_TEST
+
 T_MAIN("px_crash", a_queued_request_is_refused_when_the_verdict_comes,
-       a_crash_is_confirmed_without_another_request)
+       a_crash_is_confirmed_without_another_request,
+       a_crash_after_the_caller_left_is_counted)
