--- a/standins/platform.c
+++ b/standins/platform.c
@@ -18,6 +18,7 @@
  *   notrun       503, marked as not run
  *   misdirected  421, marked as not run
  *   slow         complete response after SLOW_DELAY_US
+ *   crash        the target ends and starts again after DOWN_US
  *   large        chunked response of LARGE_BYTES
  *   hugeKB       chunked response of KB * 1024 bytes
  *   endlessKIND  bytes until the caller disconnects, see endless_kinds
@@ -48,6 +49,7 @@
  *                          are open, and of all so far
  *   GET  /test/arrived?ID  number of requests for target ID
  *   GET  /test/served?ID   number of those that it accepted
+ *   GET  /test/crashes     number of crashes of all targets
  */
 #include <getopt.h>
 #include <signal.h>
@@ -146,13 +148,24 @@
     return 2;
 }
 
+static const CallerFns target_fns = {on_target, on_target_disconnected, NULL,
+                                     on_refused, NULL};
+
+static void
+on_target_start(void *ctx, int64_t now_us)
+{
+    Target *t = ctx;
+    (void)now_us;
+
+    change_target(t, "restart", str_of(""));
+    t->callers = start_server(t->p, &t->addr, &target_fns, t);
+}
+
 static void
 start(Platform *p, const struct sockaddr_in *store)
 {
     static const CallerFns store_fns = {on_store_call, on_store_disconnected,
                                         NULL, on_refused, NULL};
-    static const CallerFns target_fns = {on_target, on_target_disconnected,
-                                         NULL, on_refused, NULL};
 
     p->items = g_ptr_array_new_with_free_func(item_free);
     p->leases = g_array_new(FALSE, TRUE, sizeof(Lease));
@@ -160,6 +173,8 @@
     p->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     p->callers = start_server(p, store, &store_fns, p);
     for (int i = 0; i < p->n_targets; i++) {
+        p->targets[i].start_timer =
+            (EvlTimer){.fn = on_target_start, .ctx = &p->targets[i]};
         p->targets[i].callers =
             start_server(p, &p->targets[i].addr, &target_fns, &p->targets[i]);
     }
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -70,7 +70,9 @@
     GHashTable *told; /* entry VM process -> Told, see platform_notice.h */
     char retry_after[NAME_BYTES]; /* if not empty, refuses all requests with
                                      this Retry-After */
-    CallerSet *callers;
+    CallerSet *callers;           /* NULL while it is down */
+    int crashes;
+    EvlTimer start_timer; /* its next start after a crash */
 } Target;
 
 /* A response that is sent when the timer fires. */
@@ -495,6 +497,13 @@
     else if (strcmp(what, "served") == 0) {
         snprintf(out, cap, "%d\n", t == NULL ? 0 : t->served);
     }
+    else if (strcmp(what, "crashes") == 0) {
+        int n = 0;
+        for (int i = 0; i < p->n_targets; i++) {
+            n += p->targets[i].crashes;
+        }
+        snprintf(out, cap, "%d\n", n);
+    }
     else {
         return false;
     }
--- a/standins/platform_targets.h
+++ b/standins/platform_targets.h
@@ -9,6 +9,9 @@
 #include "platform_notice.h"
 #include "platform_store.h"
 
+#define CRASH_DELAY_US 50000 /* from the start of a request to the crash */
+#define DOWN_US 1500000      /* time for which a crashed target is down */
+
 static void
 count_run(Platform *p, const char *id)
 {
@@ -169,6 +172,37 @@
     evl_arm(t->p->loop, &d->timer, now_us + SLOW_DELAY_US);
 }
 
+/* Ends the target: its connections and its listener close.  It starts again
+ * after DOWN_US. */
+static void
+on_crash(void *ctx, int64_t now_us)
+{
+    DelayedReply *d = ctx;
+    Target *t = d->t;
+
+    caller_set_user(d->caller, NULL);
+    g_free(d->id);
+    g_free(d);
+    if (t->callers == NULL) {
+        return;
+    }
+    callers_free(t->callers);
+    t->callers = NULL;
+    t->crashes++;
+    evl_arm(t->p->loop, &t->start_timer, now_us + DOWN_US);
+}
+
+static void
+crash_target(Target *t, Caller *c, const char *id, int64_t now_us)
+{
+    DelayedReply *d = g_new0(DelayedReply, 1);
+
+    *d = (DelayedReply){t, c, g_strdup(id), {.fn = on_crash, .ctx = d}};
+    count_run(t->p, id);
+    caller_set_user(c, d);
+    evl_arm(t->p->loop, &d->timer, now_us + CRASH_DELAY_US);
+}
+
 /* retry_after: value of that header, empty for none. */
 static void
 respond_not_run(const Target *t, Caller *c, const char *id, int status,
@@ -219,6 +253,9 @@
     else if (strcmp(behaviour, "misdirected") == 0) {
         respond_not_run(t, c, id, 421, "");
     }
+    else if (strcmp(behaviour, "crash") == 0) {
+        crash_target(t, c, id, now_us);
+    }
     else if (strcmp(behaviour, "slow") == 0) {
         respond_delayed(t, c, id, now_us);
     }
