Ignore heartbeats of a start that has ended

What callers saw: suspected only; a VM that runs counted as leaving, and was missing from answers of the directory, until its entry changed.

Cause: starts of a VM are ordered by wall time. After its clock was set back the new start has the earlier time, and a late heartbeat of the old one replaced it, with its leaving flag.

Change: the list keeps the start before the current one, whose heartbeats are ignored.

Result: test_heartbeat heartbeat_of_an_earlier_start_is_ignored_after_a_clock_step failed before, passes now.

--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -195,7 +195,9 @@
 {
     Vm *v = vml_find(b->o.vms, str_of(in->vm));
 
-    if (v == NULL || in->boot_ms < v->boot_ms) {
+    /* After its clock was set back, an earlier start has a later time. */
+    if (v == NULL || in->boot_ms < v->boot_ms ||
+        in->boot_ms == v->ended_boot_ms) {
         return;
     }
     update_vm(b, v, in, now_us);
--- a/src/vml.c
+++ b/src/vml.c
@@ -146,7 +146,9 @@
         Vm prev = *old;
         *old = *v;
         old->rtt_us = prev.rtt_us;
+        old->ended_boot_ms = prev.boot_ms;
         if (prev.boot_ms == v->boot_ms) {
+            old->ended_boot_ms = prev.ended_boot_ms;
             old->heartbeat_us = prev.heartbeat_us;
             old->heartbeat_sent_us = prev.heartbeat_sent_us;
         }
--- a/src/vml.h
+++ b/src/vml.h
@@ -28,9 +28,10 @@
     struct sockaddr_in peer; /* for heartbeats */
     int zone;
     int region;
-    bool leaving;         /* it is shutting down */
-    uint64_t boot_ms;     /* wall time of its start */
-    int64_t heartbeat_us; /* when its last heartbeat was received; 0: none */
+    bool leaving;           /* it is shutting down */
+    uint64_t boot_ms;       /* wall time of its start */
+    uint64_t ended_boot_ms; /* start before that; 0: not known */
+    int64_t heartbeat_us;   /* when its last heartbeat was received; 0: none */
     /* When it sent that heartbeat, by its own clock. */
     int64_t heartbeat_sent_us;
     int64_t rtt_us; /* round-trip time to it; 0: not known */
--- /dev/null
+++ b/tests/test_heartbeat.c
@@ -0,0 +1,50 @@
+/* Tests of heartbeat: what a VM takes over from the heartbeats of others. */
+#include "t.h"
+
+#include <string.h>
+
+#include "heartbeat.h"
+
+#define S INT64_C(1000000)
+#define NOW (100 * S)
+
+static void
+put_vm(Vml *l, const Topology *p, uint64_t boot_ms)
+{
+    char text[VML_RECORD_BYTES];
+    Err e = {0};
+    Vm v;
+
+    g_snprintf(text, sizeof(text),
+               "entry=10.0.0.1:1 peer=10.0.0.1:9 zone=w1 leaving=0 "
+               "boot=%" G_GUINT64_FORMAT,
+               boot_ms);
+    ck_assert(vml_parse(&v, str_of("a"), str_of(text), p, &e));
+    vml_put(l, &v);
+}
+
+/* Guards against a late heartbeat of an earlier start that marks the new one
+ * as leaving, when the clock was set back between the two starts. */
+START_TEST(heartbeat_of_an_earlier_start_is_ignored_after_a_clock_step)
+{
+    Topology p = {0};
+    PeerHeartbeat late = {
+        .vm = "a", .boot_ms = 5000, .leaving = true, .sent_us = S};
+
+    topology_add(&p, str_of("w1"), str_of("west"));
+    Vml *l = vml_new(&p);
+    HeartbeatsOpts o = {
+        .vms = l, .log = dlog_new(&(DlogOpts){2, 100, 65536}), .vm_id = "b"};
+    Heartbeats *b = heartbeat_new(&o);
+    put_vm(l, &p, 5000);
+    put_vm(l, &p, 3000);
+    heartbeat_receive(b, &late, NOW);
+    ck_assert(!vml_find(l, str_of("a"))->leaving);
+    heartbeat_free(b);
+    dlog_free(o.log);
+    vml_free(l);
+}
+END_TEST
+
+T_MAIN("heartbeat",
+       heartbeat_of_an_earlier_start_is_ignored_after_a_clock_step)
