Do not call a copy current while it keeps keys that a list lacks

What callers saw: suspected only; requests queued after a cut were sent to an upstream that had left, until the list was read once more (up to 0.33 s and a call).

Cause: a key that a list lacks is dropped after the second list only, but the first one already reported that the copy is current, which ends the queueing of requests.

Change: the copy is current after the list that confirms the missing keys.

Result: test_mirror a_list_that_lacks_a_key_is_not_current failed before (current with servers/b after the list without it), passes now.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -166,7 +166,7 @@
 static bool
 is_current(const Feed *f)
 {
-    return f->listed && !f->checking && !f->urgent_pending &&
+    return f->listed && !f->relist && !f->checking && !f->urgent_pending &&
            !resync_lacks_changes(f->resync);
 }
 
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -46,6 +46,9 @@
     char at_ready[256];
     char at_end[256];
     int n_behind; /* calls of MirrorFns.behind */
+    /* "N:KEYS|" for each call of MirrorFns.current: the calls made by then and
+     * the keys held. */
+    char currents[1024];
     MirrorCounts counts;
     char announced[256]; /* keys that were announced to other VMs */
 } Store;
@@ -144,8 +147,13 @@
 static void
 on_current(void *ctx, int64_t now_us)
 {
-    (void)ctx;
+    Store *s = ctx;
     (void)now_us;
+
+    size_t n = strlen(s->currents);
+    g_snprintf(s->currents + n, sizeof(s->currents) - n, "%d:", s->n_calls);
+    write_keys(s, s->currents, sizeof(s->currents));
+    g_strlcat(s->currents, "|", sizeof(s->currents));
 }
 
 static void
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -200,6 +200,35 @@
 }
 END_TEST
 
+/* Guards against a copy that counts as current while it keeps an upstream that
+ * the store's list lacks, and that requests are then sent to. */
+START_TEST(a_list_that_lacks_a_key_is_not_current)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        /* Unreadable, so that everything is listed again. */
+        {"after=9&", 200, "{"},
+        {"/api/kv-range?PathPrefix=$", 200,
+         LIST(ITEM("servers/a", "3"), "30")},
+        {"/api/kv-range?PathPrefix=$", 200,
+         LIST(ITEM("servers/a", "3"), "31")},
+        {NULL, 0, NULL},
+    };
+    char early[64];
+    int list = 0;
+
+    run(&s, script, 2000000);
+    while (list < s.n_calls && !matches(s.calls[list], "PathPrefix=$")) {
+        list++;
+    }
+    ck_assert_int_lt(list, s.n_calls);
+    ck_assert_str_eq(s.at_end, "servers/a ");
+    g_snprintf(early, sizeof(early), "|%d:servers/a servers/b ", list + 1);
+    ck_assert_msg(strstr(s.currents, early) == NULL, "%s", s.currents);
+}
+END_TEST
+
 /* Guards against VMs that keep calling a store that refuses their calls, each
  * of which has a price, although they receive all changes by gossip. */
 START_TEST(gossip_defers_calls_while_store_refuses)
@@ -242,5 +271,6 @@
        list_is_repeated_if_history_was_dropped,
        resync_finds_changes_of_dropped_history,
        changes_found_by_resync_are_announced, resync_is_in_time_if_copies_lag,
-       list_of_store_ends_resync, gossip_defers_calls_while_store_refuses,
+       list_of_store_ends_resync, a_list_that_lacks_a_key_is_not_current,
+       gossip_defers_calls_while_store_refuses,
        watch_after_failure_does_not_wait)
