--- a/src/edge.c
+++ b/src/edge.c
@@ -463,7 +463,6 @@
 edge_free(Edge *g)
 {
     evl_disarm(g->loop, &g->tick);
-    evl_disarm(g->loop, &g->crash_step);
     evl_on_stall(g->loop, NULL, NULL);
     if (g->mirror != NULL) {
         mirror_free(g->mirror);
@@ -479,6 +478,8 @@
     view_free(g->view);
     px_free(g->px);
     uconns_free(g->pool);
+    /* Requests that end above may have armed it. */
+    evl_disarm(g->loop, &g->crash_step);
     crash_free(g->crashes);
     plan_free(g->plan);
     demand_free(g->demand);
