--- a/src/crash.c
+++ b/src/crash.c
@@ -35,9 +35,6 @@
 /* Between objections to a verdict on a request that was served. */
 #define OBJECT_US 100000
 #define ANNOUNCE_VERDICTS_MAX 5 /* of a message */
-/* Verdicts of a heartbeat that are chosen by weight; the others take turns. */
-#define GOSSIP_BY_WEIGHT (CRASHMSG_VERDICTS_MAX / 2)
-#define GOSSIP_WINDOW 64 /* verdicts among which these are chosen */
 /* Fingerprints served recently, by their lowest bits. */
 #define SERVED_SLOTS 2048
 /* Lines about the first crash of a fingerprint.  Most of these belong to
@@ -232,20 +229,6 @@
     return known;
 }
 
-/* Verdicts with most weight are kept at the head of their queue. */
-static void
-set_weight(Crashes *c, CrashEntry *e, int weight)
-{
-    const CrashEntry *least =
-        g_queue_peek_nth(&c->table.known, GOSSIP_BY_WEIGHT - 1);
-
-    e->weight = weight;
-    if (e->known_link.data != NULL && least != NULL &&
-        least->weight < weight) {
-        crashtab_known_first(&c->table, e);
-    }
-}
-
 /* refused_us: when the verdict was reached, or the last refusal. */
 static void
 start_verdict(Crashes *c, CrashEntry *e, int64_t refused_us, int64_t now_us)
@@ -254,8 +237,7 @@
     e->in_force_us = now_us + (e->contested ? CONTEST_US : 0);
     e->refused_us = refused_us;
     e->revoked = false;
-    crashtab_known_last(&c->table, e);
-    set_weight(c, e, e->weight);
+    crashtab_set_known(&c->table, e);
 }
 
 /* Reaches a verdict when the request met enough crashes. */
@@ -326,7 +308,7 @@
         return false;
     }
     e->refused_us = now_us;
-    set_weight(c, e, e->weight + 1);
+    crashtab_set_weight(&c->table, e, e->weight + 1);
     return true;
 }
 
@@ -428,38 +410,14 @@
            (e->served_us != 0 && now_us - e->served_us <= RETAIN_US);
 }
 
-/* Adds an entry to a list by descending weight; the last one of a full list
- * makes room.  Returns the length. */
-static int
-insert_by_weight(CrashEntry **list, int n, int max, CrashEntry *e)
-{
-    int at = n;
-
-    while (at > 0 && list[at - 1]->weight < e->weight) {
-        at--;
-    }
-    if (at == max) {
-        return n;
-    }
-    n = MIN(n + 1, max);
-    for (int i = n - 1; i > at; i--) {
-        list[i] = list[i - 1];
-    }
-    list[at] = e;
-    return n;
-}
-
 /* Announces the entries that matter most to the region; the others wait. */
 static void
 announce(Crashes *c, int64_t now_us)
 {
     CrashEntry *list[ANNOUNCE_VERDICTS_MAX];
     CrashMsg m = {0};
-    int n = 0;
+    int n = crashtab_announced(&c->table, list, ANNOUNCE_VERDICTS_MAX);
 
-    for (GList *l = c->table.announce.head; l != NULL; l = l->next) {
-        n = insert_by_weight(list, n, ANNOUNCE_VERDICTS_MAX, l->data);
-    }
     for (int i = 0; i < n; i++) {
         m.verdicts[m.n_verdicts++] = verdict_of(list[i], now_us);
     }
@@ -534,7 +492,7 @@
     CrashEntry *e = get_entry(c, v->fingerprint, now_us);
     bool refused = e->refused_us != 0;
 
-    set_weight(c, e, MAX(e->weight, v->weight));
+    crashtab_set_weight(&c->table, e, MAX(e->weight, v->weight));
     clear(c, e, now_us - v->age_us, now_us);
     if (refused && e->refused_us == 0 &&
         crashout_owns(c->out, v->fingerprint)) {
@@ -553,7 +511,7 @@
         return;
     }
     CrashEntry *e = get_entry(c, v->fingerprint, now_us);
-    set_weight(c, e, MAX(e->weight, v->weight));
+    crashtab_set_weight(&c->table, e, MAX(e->weight, v->weight));
     if (e->refused_us != 0) {
         if (refused_us > e->refused_us + RENEW_US) {
             e->refused_us = refused_us;
@@ -563,7 +521,7 @@
     if (served_at(c, e) >= first_us) {
         e->served_us = served_at(c, e);
         e->revoked = true;
-        crashtab_known_first(&c->table, e);
+        crashtab_set_known(&c->table, e);
         if (now_us - e->objected_us >= OBJECT_US) {
             e->objected_us = now_us;
             tell_owners(c, e, now_us);
@@ -601,26 +559,9 @@
 crash_gossip(Crashes *c, CrashMsg *m, int64_t now_us)
 {
     CrashEntry *list[CRASHMSG_VERDICTS_MAX];
-    int n = 0;
+    int n = crashtab_next_known(&c->table, list, CRASHMSG_VERDICTS_MAX);
 
     *m = (CrashMsg){0};
-    GList *l = c->table.known.head;
-    for (int i = 0; i < GOSSIP_WINDOW && l != NULL; i++, l = l->next) {
-        n = insert_by_weight(list, n, GOSSIP_BY_WEIGHT, l->data);
-    }
-    for (int i = 0; i < n; i++) {
-        crashtab_known_first(&c->table, list[i]);
-    }
-    /* The next ones then go to the end, so that each one gets its turn. */
-    l = g_queue_peek_nth_link(&c->table.known, (guint)n);
-    while (l != NULL && n < CRASHMSG_VERDICTS_MAX) {
-        CrashEntry *e = l->data;
-        l = l->next;
-        list[n++] = e;
-    }
-    for (int i = GOSSIP_BY_WEIGHT; i < n; i++) {
-        crashtab_known_last(&c->table, list[i]);
-    }
     for (int i = 0; i < n; i++) {
         m->verdicts[m->n_verdicts++] = verdict_of(list[i], now_us);
     }
--- a/src/crashtab.c
+++ b/src/crashtab.c
@@ -1,6 +1,8 @@
 /* crashtab - fingerprints and the crashes they met.  See crashtab.h. */
 #include "crashtab.h"
 
+/* Known entries among which those with most weight are chosen. */
+#define KNOWN_WINDOW 64
 /* Entries changed least recently, of which one makes room. */
 #define DROP_CANDIDATES 64
 
@@ -124,20 +126,89 @@
 }
 
 void
-crashtab_known_last(Crashtab *t, CrashEntry *e)
+crashtab_set_known(Crashtab *t, CrashEntry *e)
 {
     set_queued(&t->known, &e->known_link, e, false);
     set_queued(&t->known, &e->known_link, e, true);
+    crashtab_set_weight(t, e, e->weight);
 }
 
-void
-crashtab_known_first(Crashtab *t, CrashEntry *e)
+static void
+move_to_head(Crashtab *t, CrashEntry *e)
 {
-    set_queued(&t->known, &e->known_link, e, false);
-    e->known_link.data = e;
+    g_queue_unlink(&t->known, &e->known_link);
     g_queue_push_head_link(&t->known, &e->known_link);
 }
 
+void
+crashtab_set_weight(Crashtab *t, CrashEntry *e, int weight)
+{
+    const CrashEntry *least =
+        g_queue_peek_nth(&t->known, CRASHTAB_BY_WEIGHT - 1);
+
+    e->weight = weight;
+    if (e->known_link.data != NULL && least != NULL &&
+        least->weight < weight) {
+        move_to_head(t, e);
+    }
+}
+
+/* Adds an entry to a list by descending weight; the last one of a full list
+ * makes room.  Returns the length. */
+static int
+insert_by_weight(CrashEntry **list, int n, int max, CrashEntry *e)
+{
+    int at = n;
+
+    while (at > 0 && list[at - 1]->weight < e->weight) {
+        at--;
+    }
+    if (at == max) {
+        return n;
+    }
+    n = MIN(n + 1, max);
+    for (int i = n - 1; i > at; i--) {
+        list[i] = list[i - 1];
+    }
+    list[at] = e;
+    return n;
+}
+
+int
+crashtab_announced(const Crashtab *t, CrashEntry **list, int max)
+{
+    int n = 0;
+
+    for (GList *l = t->announce.head; l != NULL; l = l->next) {
+        n = insert_by_weight(list, n, max, l->data);
+    }
+    return n;
+}
+
+int
+crashtab_next_known(Crashtab *t, CrashEntry **list, int max)
+{
+    int heavy = 0;
+    GList *l = t->known.head;
+
+    for (int i = 0; i < KNOWN_WINDOW && l != NULL; i++, l = l->next) {
+        heavy = insert_by_weight(list, heavy, CRASHTAB_BY_WEIGHT, l->data);
+    }
+    for (int i = heavy; i-- > 0;) {
+        move_to_head(t, list[i]);
+    }
+    int n = heavy;
+    l = g_queue_peek_nth_link(&t->known, (guint)n);
+    for (; l != NULL && n < max; l = l->next) {
+        list[n++] = l->data;
+    }
+    for (int i = heavy; i < n; i++) {
+        g_queue_unlink(&t->known, &list[i]->known_link);
+        g_queue_push_tail_link(&t->known, &list[i]->known_link);
+    }
+    return n;
+}
+
 static int
 oldest_unconfirmed(const CrashEntry *e)
 {
--- a/src/crashtab.h
+++ b/src/crashtab.h
@@ -16,6 +16,7 @@
 
 #define CRASHTAB_ENTRIES_MAX 4096
 #define CRASHTAB_CRASHES_MAX 4 /* for each fingerprint */
+#define CRASHTAB_BY_WEIGHT 5   /* entries of a heartbeat chosen by weight */
 
 /* A lost answer; a crash once it is confirmed. */
 typedef struct Crash {
@@ -74,9 +75,19 @@
 void crashtab_set_busy(Crashtab *t, CrashEntry *e, bool on);
 void crashtab_set_announce(Crashtab *t, CrashEntry *e, bool on);
 
-/* Move an entry to an end of the queue Crashtab.known. */
-void crashtab_known_first(Crashtab *t, CrashEntry *e);
-void crashtab_known_last(Crashtab *t, CrashEntry *e);
+/* Puts an entry into the queue Crashtab.known. */
+void crashtab_set_known(Crashtab *t, CrashEntry *e);
+
+/* Changes the weight.  Known entries with most weight stay at the head of
+ * their queue. */
+void crashtab_set_weight(Crashtab *t, CrashEntry *e, int weight);
+
+/* The entries to be announced with most weight.  Returns their number. */
+int crashtab_announced(const Crashtab *t, CrashEntry **list, int max);
+
+/* Known entries for a heartbeat: CRASHTAB_BY_WEIGHT of those with most weight,
+ * then others in turn, up to max.  Returns their number. */
+int crashtab_next_known(Crashtab *t, CrashEntry **list, int max);
 
 /* Returns NULL if the entry does not have the crash. */
 Crash *crashtab_find_crash(CrashEntry *e, uint64_t id);
