Read the log of platform_notice after it was written

Cause: the test counts lines of a log that the VM writes every 250 ms right after the requests.

Change: the test waits for two writes before it counts. The count is still exactly one; a second line within that time fails it as before.

--- a/tests/platform_notice.sh
+++ b/tests/platform_notice.sh
@@ -38,6 +38,7 @@
 seen=$(arrived u-1)
 check after_notice "$(ask_all c)" 8
 check after_notice_arrived "$(arrived u-1)" "$seen"
+sleep 0.5 # log lines are written every 250 ms
 check notices "$(grep -c 'id=u-1 event=said_leaving' "$dir/vm1.log")" 1
 
 # Guards against a notice that is lost by a resync, by a report that still
