--- a/tests/lib/platform_lib.sh
+++ b/tests/lib/platform_lib.sh
@@ -147,6 +147,23 @@
     sleep 1
 }
 
+# start_three_vms: starts the stand-in, stores a configuration, and starts VM 1
+# and 3 in west-a and VM 2 in east-a and waits until they are ready.
+start_three_vms() {
+    start_platform
+    config 3
+    settings 1 west-a
+    settings 2 east-a
+    settings 3 west-a
+    for n in 1 2 3; do
+        start_vm $n
+    done
+    for n in 1 2 3; do
+        wait_for "http://127.0.0.1:$((port + 100 * n + 2))/api/readyz" 200
+    done
+    sleep 1.2
+}
+
 # sched_read PID: prints the wall time in ms, the time for which the process
 # has run and that for which it has waited for a processor, both in ns, and its
 # major page faults.  Fails when the process has ended.
--- a/tests/platform_crash.sh
+++ b/tests/platform_crash.sh
@@ -18,18 +18,7 @@
     curl -s "http://$store/test/crashes"
 }
 
-start_platform
-config 3
-settings 1 west-a
-settings 2 east-a
-settings 3 west-a
-start_vm 1
-start_vm 2
-start_vm 3
-for v in 1 2 3; do
-    wait_for "http://127.0.0.1:$((port + 100 * v + 2))/api/readyz" 200
-done
-sleep 1.2
+start_three_vms
 
 # Guards against a request that crashes an upstream at one VM after the other.
 check first "$(bad 1 a1)" 502
--- a/tests/platform_path.sh
+++ b/tests/platform_path.sh
@@ -8,18 +8,7 @@
 b=$1
 . tests/lib/platform_lib.sh
 
-start_platform
-config 3
-settings 1 west-a
-settings 2 east-a
-settings 3 west-a
-start_vm 1
-start_vm 2
-start_vm 3
-wait_for "http://127.0.0.1:$((port + 102))/api/readyz" 200
-wait_for "http://127.0.0.1:$((port + 202))/api/readyz" 200
-wait_for "http://127.0.0.1:$((port + 302))/api/readyz" 200
-sleep 1.2
+start_three_vms
 
 # Guards against responses that lose their status, body or seal, and against
 # request bodies that are not forwarded.
