Share the framing of datagrams between VMs

Cause: crashmsg and peer repeated the encoding and decoding of an XDR datagram, and they, gossip and gossipfrag the comparison of its magic number.

Change: dgram has these; the limit of 1,400 bytes has one constant.

--- a/src/crashmsg.c
+++ b/src/crashmsg.c
@@ -4,10 +4,8 @@
 #include <string.h>
 
 #include <glib.h>
-#include <rpc/rpc.h>
 
 #define MAGIC 0x6d696331U /* "mic1": format version 1 */
-#define MAGIC_BYTES 4
 
 /* Ages are sent in milliseconds. */
 static bool_t
@@ -68,8 +66,9 @@
 }
 
 static bool_t
-xdr_msg(XDR *x, CrashMsg *m)
+xdr_msg(XDR *x, void *obj)
 {
+    CrashMsg *m = obj;
     u_int magic = MAGIC;
 
     if (!xdr_u_int(x, &magic) || magic != MAGIC ||
@@ -96,42 +95,23 @@
 crashmsg_encode(const CrashMsg *m, char *out, size_t cap)
 {
     CrashMsg copy = *m;
-    XDR x;
 
-    xdrmem_create(&x, out, (u_int)cap, XDR_ENCODE);
-    size_t n = xdr_msg(&x, &copy) ? xdr_getpos(&x) : 0;
-    xdr_destroy(&x);
-    return n;
+    return dgram_encode(xdr_msg, &copy, out, cap);
 }
 
 bool
 crashmsg_is(const char *p, size_t n)
 {
-    uint32_t magic = 0;
-
-    if (n < MAGIC_BYTES) {
-        return false;
-    }
-    memcpy(&magic, p, MAGIC_BYTES);
-    return g_ntohl(magic) == MAGIC;
+    return dgram_is(p, n, MAGIC);
 }
 
 bool
 crashmsg_decode(CrashMsg *m, const char *p, size_t n, Err *e)
 {
-    char buf[CRASHMSG_BYTES_MAX];
-    XDR x;
-
     memset(m, 0, sizeof(*m));
-    if (n > sizeof(buf)) {
-        return err_set(e, ERR_PROTOCOL,
-                       "message of %zu bytes about crashes is too long", n);
-    }
-    memcpy(buf, p, n);
-    xdrmem_create(&x, buf, (u_int)n, XDR_DECODE);
-    bool ok = xdr_msg(&x, m);
-    xdr_destroy(&x);
-    return ok || err_set(e, ERR_PROTOCOL,
-                         "message about crashes cut short or of another "
-                         "format");
+    return dgram_decode(xdr_msg, m, p, n) ||
+           err_set(e, ERR_PROTOCOL,
+                   "message of %zu bytes about crashes cut short, too long "
+                   "or of another format",
+                   n);
 }
--- a/src/crashmsg.h
+++ b/src/crashmsg.h
@@ -11,11 +11,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "dgram.h"
 #include "err.h"
 
 #define CRASHMSG_REPORTS_MAX 44
 #define CRASHMSG_VERDICTS_MAX 10
-#define CRASHMSG_BYTES_MAX 1400 /* fits one packet on common links */
 
 /* A crash while a request was in flight. */
 typedef struct CrashReport {
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -5,6 +5,8 @@
 
 #include <rpc/rpc.h>
 
+#include "dgram.h"
+
 #define MAGIC 0x6d696e31U    /* "min1": format version 1 */
 #define HEAD_SIZE 28         /* magic, feed, from, to, count */
 #define ITEM_SIZE 20         /* revision, deleted, lengths */
@@ -124,13 +126,7 @@
 bool
 gossip_is(const char *p, size_t n)
 {
-    uint32_t magic;
-
-    if (n < sizeof(magic)) {
-        return false;
-    }
-    memcpy(&magic, p, sizeof(magic));
-    return ntohl(magic) == MAGIC;
+    return dgram_is(p, n, MAGIC);
 }
 
 static bool
--- a/src/gossipfrag.c
+++ b/src/gossipfrag.c
@@ -6,6 +6,8 @@
 #include <rpc/rpc.h>
 #include <zstd.h>
 
+#include "dgram.h"
+
 #define MAGIC 0x6d696e70U /* "minp" */
 #define HEAD_SIZE 24      /* magic, id, index, count, compressed length */
 #define FRAG_BYTES (GOSSIP_BYTES_MAX - HEAD_SIZE)
@@ -90,13 +92,7 @@
 bool
 gossipfrag_is(const char *p, size_t n)
 {
-    uint32_t magic;
-
-    if (n < sizeof(magic)) {
-        return false;
-    }
-    memcpy(&magic, p, sizeof(magic));
-    return ntohl(magic) == MAGIC;
+    return dgram_is(p, n, MAGIC);
 }
 
 GossipFrag *
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -18,7 +18,7 @@
     int64_t gossip_sent; /* gossip datagrams sent */
     uint64_t messages;   /* gossip messages sent */
     /* Verdicts on requests that crash upstreams, sent beside heartbeats. */
-    char verdicts[CRASHMSG_BYTES_MAX];
+    char verdicts[DGRAM_BYTES_MAX];
     size_t verdicts_bytes;
 };
 
@@ -88,7 +88,7 @@
 static void
 send_one(const Heartbeats *b, PeerHeartbeat *p, const Vm *v)
 {
-    char buf[PEER_BYTES_MAX];
+    char buf[DGRAM_BYTES_MAX];
 
     p->echo_us = v->heartbeat_sent_us;
     p->echo_delay_us = p->sent_us - v->heartbeat_us;
@@ -184,7 +184,7 @@
 void
 heartbeat_send_crashes(Heartbeats *b, int vm, const CrashMsg *m)
 {
-    char buf[CRASHMSG_BYTES_MAX];
+    char buf[DGRAM_BYTES_MAX];
     size_t n = crashmsg_encode(m, buf, sizeof(buf));
 
     peer_send(b->o.peer, &vml_at(b->o.vms, vm)->peer, buf, n);
--- a/src/peer.c
+++ b/src/peer.c
@@ -7,8 +7,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <rpc/rpc.h>
-
 #include "gossipfrag.h"
 
 #define MAGIC 0x6d696d32U     /* "mim2": format version 2 */
@@ -129,8 +127,9 @@
 }
 
 static bool_t
-xdr_heartbeat(XDR *x, PeerHeartbeat *b)
+xdr_heartbeat(XDR *x, void *obj)
 {
+    PeerHeartbeat *b = obj;
     u_int magic = MAGIC;
     char *name = b->vm;
     u_quad_t boot = b->boot_ms;
@@ -155,31 +154,19 @@
 peer_encode(const PeerHeartbeat *b, char *out, size_t cap)
 {
     PeerHeartbeat copy = *b;
-    XDR x;
 
-    xdrmem_create(&x, out, (u_int)cap, XDR_ENCODE);
-    size_t n = xdr_heartbeat(&x, &copy) ? xdr_getpos(&x) : 0;
-    xdr_destroy(&x);
-    return n;
+    return dgram_encode(xdr_heartbeat, &copy, out, cap);
 }
 
 bool
 peer_decode(PeerHeartbeat *b, const char *p, size_t n, Err *e)
 {
-    char buf[PEER_BYTES_MAX];
-    XDR x;
-
     memset(b, 0, sizeof(*b));
-    if (n > sizeof(buf)) {
-        return err_set(e, ERR_PROTOCOL, "heartbeat of %zu bytes is too long",
-                       n);
-    }
-    memcpy(buf, p, n);
-    xdrmem_create(&x, buf, (u_int)n, XDR_DECODE);
-    bool ok = xdr_heartbeat(&x, b);
-    xdr_destroy(&x);
-    return ok || err_set(e, ERR_PROTOCOL,
-                         "heartbeat cut short or of another format");
+    return dgram_decode(xdr_heartbeat, b, p, n) ||
+           err_set(e, ERR_PROTOCOL,
+                   "heartbeat of %zu bytes cut short, too long or of another "
+                   "format",
+                   n);
 }
 
 static void
@@ -228,7 +215,7 @@
 on_datagram(void *ctx, uint32_t events)
 {
     Peer *p = ctx;
-    char buf[MAX(PEER_BYTES_MAX, GOSSIP_BYTES_MAX)];
+    char buf[MAX(DGRAM_BYTES_MAX, GOSSIP_BYTES_MAX)];
     (void)events;
 
     for (int i = 0; i < DATAGRAMS_PER_TURN; i++) {
--- a/src/peer.h
+++ b/src/peer.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include "crashmsg.h"
+#include "dgram.h"
 #include "err.h"
 #include "evl.h"
 #include "limits.h"
@@ -25,7 +26,6 @@
 #define PEER_SERVICES_MAX 32
 #define PEER_OBJECTS_MAX 30
 #define PEER_OBSERVED_MAX 24
-#define PEER_BYTES_MAX 1400 /* fits one packet on common links */
 
 typedef struct PeerDemand {
     uint64_t service; /* hash of the name */
--- a/tests/crash_world.h
+++ b/tests/crash_world.h
@@ -128,9 +128,9 @@
     CrashWorld *w = from->w;
     bool near = from->vm % REGIONS == to % REGIONS;
     WorldMsg x = {to, w->now_us + (near ? DELAY_NEAR_US : DELAY_FAR_US),
-                  g_malloc(CRASHMSG_BYTES_MAX), 0};
+                  g_malloc(DGRAM_BYTES_MAX), 0};
 
-    x.n = crashmsg_encode(m, x.bytes, CRASHMSG_BYTES_MAX);
+    x.n = crashmsg_encode(m, x.bytes, DGRAM_BYTES_MAX);
     g_assert_true(x.n > 0);
     w->bytes += (int64_t)x.n + HEADER_BYTES;
     w->datagrams++;
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -178,7 +178,7 @@
                                 .age_us = 2 * S,
                                 .refused_us = S}}};
     CrashMsg b;
-    char buf[CRASHMSG_BYTES_MAX];
+    char buf[DGRAM_BYTES_MAX];
     size_t n = crashmsg_encode(&a, buf, sizeof(buf));
 
     ck_assert_uint_gt(n, 0);
@@ -297,7 +297,7 @@
                        .n_objects = 1,
                        .objects = {{1, 99, 2}}};
     PeerHeartbeat b;
-    char buf[PEER_BYTES_MAX];
+    char buf[DGRAM_BYTES_MAX];
     size_t n = peer_encode(&a, buf, sizeof(buf));
 
     ck_assert_uint_gt(n, 0);
