Wait for objections also when a verdict is contested late

Cause: a VM reached the verdict from reports of VMs that had not served the object before the crashes. It ignored what came later, that others had: the flag in their verdicts and reports.

--- a/src/crash.c
+++ b/src/crash.c
@@ -240,6 +240,16 @@
     crashtab_set_known(&c->table, e);
 }
 
+/* Records that a VM had served the request before its crashes. */
+static void
+contest(CrashEntry *e, int64_t now_us)
+{
+    if (!e->contested) {
+        e->contested = true;
+        e->in_force_us = now_us + CONTEST_US;
+    }
+}
+
 /* Reaches a verdict when the request met enough crashes. */
 static void
 judge(Crashes *c, CrashEntry *e, int64_t now_us)
@@ -472,7 +482,9 @@
     if (at_us <= served_at(c, e)) {
         return;
     }
-    e->contested = e->contested || r->served_before;
+    if (r->served_before) {
+        contest(e, now_us);
+    }
     Crash *x = crashtab_find_crash(e, r->crash);
     e->weight += x == NULL ? 1 : 0;
     if (x != NULL && !x->confirmed) {
@@ -512,6 +524,9 @@
     }
     CrashEntry *e = get_entry(c, v->fingerprint, now_us);
     crashtab_set_weight(&c->table, e, MAX(e->weight, v->weight));
+    if (v->contested) {
+        contest(e, now_us);
+    }
     if (e->refused_us != 0) {
         if (refused_us > e->refused_us + RENEW_US) {
             e->refused_us = refused_us;
@@ -530,7 +545,6 @@
         return;
     }
     e->first_us = first_us;
-    e->contested = e->contested || v->contested;
     start_verdict(c, e, refused_us, now_us);
     note(c, COUNT_VERDICT, e, NULL, "verdict_received", now_us);
     if (crashout_owns(c->out, v->fingerprint)) {
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -146,6 +146,28 @@
 }
 END_TEST
 
+/* Guards against a VM that refuses a popular object because it learns only
+ * after its own verdict that others had served it before the crashes. */
+START_TEST(verdict_that_is_contested_later_waits_for_objections)
+{
+    Sent sent = {0};
+    Crashes *c = vm_of_two(&sent, 0);
+    CrashMsg reports = {
+        .n_reports = 3,
+        .reports = {{7, 1, 0, false}, {7, 2, 0, false}, {7, 3, 0, false}}};
+    CrashMsg verdict = {
+        .n_verdicts = 1,
+        .verdicts = {{.fingerprint = 7, .contested = true, .age_us = S}}};
+
+    crash_receive(c, &reports, NOW);
+    ck_assert(crash_should_refuse(c, 7, NOW));
+    crash_receive(c, &verdict, NOW + 10 * MS);
+    ck_assert(!crash_should_refuse(c, 7, NOW + S));
+    ck_assert(crash_should_refuse(c, 7, NOW + 4 * S));
+    crash_free(c);
+}
+END_TEST
+
 /* Guards against a full table that forgets the request with most crashes. */
 START_TEST(full_table_keeps_the_request_with_most_crashes)
 {
@@ -375,6 +397,7 @@
        repeated_report_is_one_crash,
        verdict_lasts_while_the_request_is_repeated,
        served_request_is_not_refused,
+       verdict_that_is_contested_later_waits_for_objections,
        full_table_keeps_the_request_with_most_crashes,
        message_encoding_round_trip, lost_answers_alone_cause_no_refusal,
        each_step_of_a_crash_has_a_log_line, heartbeat_encoding_round_trip,
