--- a/src/crashtab.h
+++ b/src/crashtab.h
@@ -42,7 +42,7 @@
     int64_t in_force_us; /* start of the verdict */
     bool contested;      /* a VM had served it before its crashes */
     bool revoked;        /* a verdict was void, as it was served */
-    int weight;          /* crashes and refusals seen here */
+    int weight; /* crashes and refusals, the most that a VM has seen */
     GList link;
     GList busy_link;     /* its data is NULL unless it is in Crashtab.busy */
     GList announce_link; /* the same for Crashtab.announce */
--- a/tests/crash_world.h
+++ b/tests/crash_world.h
@@ -10,6 +10,8 @@
 
 #include "t.h"
 
+#include <time.h>
+
 #include "crash.h"
 #include "hash.h"
 
@@ -102,6 +104,8 @@
     int refused;      /* of these */
     int64_t bytes;    /* sent between VMs, with UDP and IP headers */
     int64_t datagrams;
+    int64_t
+        busy_ns; /* time in crash_step(), crash_receive(), crash_gossip() */
     WorldNode *nodes;
     PickVm *list;
 } CrashWorld;
@@ -416,13 +420,25 @@
     }
 }
 
+static inline int64_t
+world_clock_ns(void)
+{
+    struct timespec t;
+
+    clock_gettime(CLOCK_MONOTONIC, &t);
+    return t.tv_sec * INT64_C(1000000000) + t.tv_nsec;
+}
+
 static inline void
 world_heartbeat(CrashWorld *w, int from)
 {
     int left[] = {FANOUT_NEAR, FANOUT_FAR};
     CrashMsg m;
 
-    if (!crash_gossip(w->vms[from].crashes, &m, w->now_us)) {
+    int64_t begin_ns = world_clock_ns();
+    bool any = crash_gossip(w->vms[from].crashes, &m, w->now_us);
+    w->busy_ns += world_clock_ns() - begin_ns;
+    if (!any) {
         return;
     }
     for (int i = 0; i < 1000 && left[0] + left[1] > 0; i++) {
@@ -447,7 +463,9 @@
         if ((w->now_us - phase) %
                 (crash_waiting(w->vms[v].crashes) ? CRASH_STEP_US : TICK_US) ==
             0) {
+            int64_t begin_ns = world_clock_ns();
             crash_step(w->vms[v].crashes, w->now_us);
+            w->busy_ns += world_clock_ns() - begin_ns;
         }
     }
     for (guint i = w->msgs->len; i-- > 0;) {
@@ -456,7 +474,9 @@
             g_array_remove_index_fast(w->msgs, i);
             CrashMsg in;
             g_assert_true(crashmsg_decode(&in, m.bytes, m.n, NULL));
+            int64_t begin_ns = world_clock_ns();
             crash_receive(w->vms[m.to].crashes, &in, w->now_us);
+            w->busy_ns += world_clock_ns() - begin_ns;
             g_free(m.bytes);
         }
     }
--- a/tests/test_crash_storm.c
+++ b/tests/test_crash_storm.c
@@ -17,7 +17,10 @@
 static CrashWorldOpts
 storm(int n_vms)
 {
-    return (CrashWorldOpts){.seed = (guint32)n_vms,
+    const char *seed = getenv("STORM_SEED"); /* the number of VMs if not set */
+
+    return (CrashWorldOpts){.seed =
+                                (guint32)(seed == NULL ? n_vms : atoi(seed)),
                             .n_vms = n_vms,
                             .n_ups = (int)(n_vms * UPS_PER_VM),
                             .load = 9,
@@ -33,9 +36,10 @@
     double vm_s = (double)w->o.n_vms * (double)(w->now_us - 100 * S) / S;
 
     printf("%s: vms=%d bad_crashes=%d late_sends=%d refused=%d of %d, "
-           "%.0f bytes and %.2f datagrams a second and VM\n",
+           "%.0f bytes, %.2f datagrams and %.2f ms a second and VM\n",
            what, w->o.n_vms, w->bad_crashes, w->late_sends, w->refused,
-           w->innocents, (double)w->bytes / vm_s, (double)w->datagrams / vm_s);
+           w->innocents, (double)w->bytes / vm_s, (double)w->datagrams / vm_s,
+           (double)w->busy_ns / 1e6 / vm_s);
     ck_assert_int_ge(w->bad_crashes, CRASH_LIMIT);
     ck_assert_int_le(w->late_sends, LATE_SENDS_MAX);
     ck_assert_int_eq(w->refused, 0);
