--- a/review/lib.sh
+++ b/review/lib.sh
@@ -47,7 +47,7 @@
 # Finds a block of 1,000 ports of which none is in use.
 find_ports() {
     for _ in $(seq 50); do
-        port=$((20000 + RANDOM % 11 * 1000))
+        port=$((10000 + RANDOM % 8 * 1000))
         local free=1
         for p in $(awk '{ split($2, a, ":"); print a[2] }' \
             /proc/net/tcp /proc/net/udp | grep -v address); do
