--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -4,7 +4,9 @@
 # than Drain after the ack.  Exit status: 1 the rule was broken, 0 it held, 2
 # the case could not run.
 # SAYS=0: the target leaves by its report alone, for comparison.
-here=$(dirname "$0")
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+cd "$here/../.." || exit 2
+record=$here/record.txt
 . review/lib.sh
 
 drain_ms=2500
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -2,11 +2,10 @@
 # Shared by the scripts of the cases: starts entry VMs with the command of the
 # deploy file against standin-platform, and sends requests with the shell's own
 # sockets.  Sourced in the repository's root with "here" set to the folder of
-# the case.
+# the case and "record" to its record.
 # shellcheck disable=SC2154
 
 TROUBLE=${TROUBLE:-1}
-record=$here/record.txt
 dir=$(mktemp -d)
 : >"$record"
 
@@ -38,23 +37,23 @@
     exit 2
 }
 
-# used PORT: true if a socket of the machine uses the port.
-used() {
-    grep -qi "^ *[0-9]*: [0-9A-F]*:$(printf %04X "$1") " \
-        /proc/net/tcp /proc/net/udp
+# ports_used: prints the local ports of all sockets of the machine.
+ports_used() {
+    cat /proc/net/tcp /proc/net/udp | while read -r _ local _; do
+        case $local in
+        *:*) echo $((16#${local#*:})) ;;
+        esac
+    done
 }
 
 # Finds a block of 1,000 ports of which none is in use.
 find_ports() {
     for _ in $(seq 50); do
         port=$((10000 + RANDOM % 8 * 1000))
-        local free=1
-        for p in $(awk '{ split($2, a, ":"); print a[2] }' \
-            /proc/net/tcp /proc/net/udp | grep -v address); do
-            local n=$((16#$p))
-            [ $n -ge $port ] && [ $n -lt $((port + 1000)) ] && free=0
-        done
-        [ $free = 1 ] && return
+        if ! ports_used | awk -v p="$port" \
+            '$1 >= p && $1 < p + 1000 { n++ } END { exit n == 0 }'; then
+            return
+        fi
     done
     cannot_run "no free ports"
 }
