--- a/review/lib.sh
+++ b/review/lib.sh
@@ -8,16 +8,16 @@
 TROUBLE=${TROUBLE:-1}
 record=$here/record.txt
 dir=$(mktemp -d)
-pids=()
 : >"$record"
 
 # Ends what this script has started, by process id.
 stop_all() {
-    [ ${#pids[@]} = 0 ] || kill -CONT "${pids[@]}" 2>/dev/null
-    [ ${#pids[@]} = 0 ] || kill -KILL "${pids[@]}" 2>/dev/null
+    for f in "$dir"/*.pid; do
+        [ -s "$f" ] && kill -KILL "$(cat "$f")"
+    done 2>/dev/null
     wait 2>/dev/null
     rm -rf "$dir"
-}
+} 2>/dev/null
 trap stop_all EXIT
 
 now_ms() {
@@ -137,8 +137,14 @@
 # start_vm N: starts entry VM N with the command of the deploy file.
 start_vm() {
     target/mimosa-edge --config "$dir/vm$1.ini" >>"$dir/vm$1.log" 2>&1 &
-    pids+=($!)
-    vm_pid[$1]=$!
+    echo $! >"$dir/vm$1.pid"
+}
+
+# end_vm N: kills entry VM N.
+end_vm() {
+    kill -KILL "$(cat "$dir/vm$1.pid")"
+    wait "$(cat "$dir/vm$1.pid")" 2>/dev/null
+    rm "$dir/vm$1.pid"
 }
 
 # wait_ready N: waits until the platform's check finds entry VM N ready.
@@ -161,7 +167,7 @@
     done
     target/standin-platform --store "127.0.0.1:$store" "${args[@]}" \
         >"$dir/platform.log" 2>&1 &
-    pids+=($!)
+    echo $! >"$dir/platform.pid"
     for _ in $(seq 50); do
         [ -n "$(count "runs?0")" ] && return
         sleep 0.1
@@ -170,10 +176,10 @@
 }
 
 # config VERSION: stores a configuration with one route for reads and one for
-# writes.
+# writes, with the limits that "fleetbench wire" shows.
 config() {
     local r='"Timeout":"2500ms","Slo":"400ms","Priority":1,"MaxAttempts":2,"Sticky":true,"HomeRegions":[],"Service":"index-desk"'
-    control "/test/key?op/config" "{\"Version\":$1,\"Services\":[{\"Name\":\"index-desk\",\"HealthPath\":\"/healthz\",\"MaxConns\":360,\"Cold\":\"3s\",\"ColdPerS\":15.0}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":1000000,\"HeaderTimeout\":\"5s\",\"IdleTimeout\":\"15s\"},\"Vhosts\":[{\"Host\":\"desk.example\",\"Paths\":[{\"Name\":\"read\",\"PathPrefix\":\"/read/\",\"Kind\":\"idempotent\",$r},{\"Name\":\"write\",\"PathPrefix\":\"/write/\",\"Kind\":\"non_idempotent\",$r}]}]}"
+    control "/test/key?op/config" "{\"Version\":$1,\"Services\":[{\"Name\":\"index-desk\",\"HealthPath\":\"/healthz\",\"MaxConns\":360,\"Cold\":\"3s\",\"ColdPerS\":15.0}],\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":67108864,\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"},\"Vhosts\":[{\"Host\":\"desk.example\",\"Paths\":[{\"Name\":\"read\",\"PathPrefix\":\"/read/\",\"Kind\":\"idempotent\",$r},{\"Name\":\"write\",\"PathPrefix\":\"/write/\",\"Kind\":\"non_idempotent\",$r}]}]}"
 }
 
 # ask N ID PATH: sends a request to entry VM N and prints the status.
