Log what the gossip of a watch leaves out

Change: a VM that announces the events of a watch logs the revisions that the message covers, the number of events and the number forwarded.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -296,6 +296,19 @@
             now_us + gossip_pause_us(m->o.propagation_us, by_gossip, sample));
 }
 
+/* Shows which events other VMs were not sent although the gossip covers their
+ * revisions. */
+static void
+log_forwarded(const Feed *f, const KvPage *p, const GossipOut *o)
+{
+    if (p->items->len > 0) {
+        dlog_event(f->m->o.log, DLOG_INFO, "store",
+                   "event=forwarded prefix=%s from=%" G_GUINT64_FORMAT
+                   " to=%" G_GUINT64_FORMAT " events=%u forwarded=%d",
+                   f->prefix, o->from, o->to, p->items->len, o->n);
+    }
+}
+
 /* Applies the events of a watch, and forwards them to nearby VMs if the answer
  * is recent enough. */
 static void
@@ -318,6 +331,7 @@
                        .items = (const KvItem *const *)forward->pdata,
                        .n = (int)forward->len};
         m->o.fns.announce(m->o.ctx, &o);
+        log_forwarded(f, p, &o);
     }
     g_ptr_array_free(forward, TRUE);
 }
