Forward every event of a watch to the other VMs

Cause: what the VM that watches passed on was decided by the effect of an event on its own state. An answer with the leaving notice had set that state before, so the event counted as no change and was left out of the gossip, which still covered its revision; the others took it as complete. The same filter left out what a paged list had brought before the watch, older configurations and keys of no known kind.

Evidence: the VM with the notice logs "event=forwarded from=9 to=10 events=1 forwarded=0", the watching VM of the other region "events=1 forwarded=1". Refuted: a gossip message that is lost or full, as both show up as missing revisions and are followed by a watch.

Change: gossip carries all events after the revision it continues from. MirrorFns.changed, the cache and the view no longer say whether a change matters. The cost is small: an entry changes only when more than its counter does, so the events that used to be left out are those of cold upstreams.

--- a/src/edge.c
+++ b/src/edge.c
@@ -125,11 +125,11 @@
     px_set_routes(g->px, t);
 }
 
-static bool
+static void
 on_item(void *ctx, const char *key, GBytes *value, uint64_t rev,
         int64_t now_us)
 {
-    return view_apply(((Edge *)ctx)->view, key, value, rev, now_us);
+    view_apply(((Edge *)ctx)->view, key, value, rev, now_us);
 }
 
 static void
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -21,7 +21,7 @@
 #define GOSSIP_BYTES_MAX 1200 /* fits one packet on common links */
 #define GOSSIP_LARGE_BYTES_MAX (512 * 1024) /* gossip in several datagrams */
 
-/* A received message: all relevant changes after revision "from", up to
+/* A received message: all events after revision "from", up to
  * page.rev.  If both are the same and there are no items, nothing has changed
  * since that revision. */
 typedef struct Gossip {
@@ -30,7 +30,7 @@
     KvPage page; /* cleared with kv_page_clear() */
 } Gossip;
 
-/* A message to send: all relevant changes after revision "from", up to
+/* A message to send: all events after revision "from", up to
  * revision "to". */
 typedef struct GossipOut {
     int feed;
--- a/src/kvcache.c
+++ b/src/kvcache.c
@@ -13,7 +13,6 @@
     uint32_t round; /* number of the current list; 0: none yet */
     bool keep_removed;
     GHashTable *entries; /* key -> Entry */
-    uint64_t merged_rev; /* see kvcache_merged_rev() */
 };
 
 KvCache *
@@ -35,7 +34,7 @@
     g_free(k);
 }
 
-bool
+void
 kvcache_apply(KvCache *k, const KvItem *it, int64_t now_us)
 {
     if (it->deleted && !k->keep_removed) {
@@ -46,8 +45,8 @@
         *e = (Entry){k->round, it->rev, it->deleted};
         g_hash_table_replace(k->entries, g_strdup(it->key), e);
     }
-    return k->changed(k->ctx, it->key, it->deleted ? NULL : it->value, it->rev,
-                      now_us);
+    k->changed(k->ctx, it->key, it->deleted ? NULL : it->value, it->rev,
+               now_us);
 }
 
 void
@@ -65,7 +64,6 @@
 void
 kvcache_merge(KvCache *k, const KvPage *p, int64_t now_us)
 {
-    k->merged_rev = MAX(k->merged_rev, p->rev);
     for (guint i = 0; i < p->items->len; i++) {
         const KvItem *it = &g_array_index(p->items, KvItem, i);
         Entry *e = g_hash_table_lookup(k->entries, it->key);
@@ -78,12 +76,6 @@
     }
 }
 
-uint64_t
-kvcache_merged_rev(const KvCache *k)
-{
-    return k->merged_rev;
-}
-
 int
 kvcache_drop_missing(KvCache *k, uint64_t upto, uint32_t lists, int64_t now_us)
 {
--- a/src/kvcache.h
+++ b/src/kvcache.h
@@ -10,10 +10,8 @@
 
 #include "kv.h"
 
-/* Called when a key changed, or was removed if value is NULL.  Returns true if
- * it has to be forwarded to other VMs; a change without effect on this VM need
- * not be. */
-typedef bool (*KvCacheFn)(void *ctx, const char *key, GBytes *value,
+/* Called when a key changed, or was removed if value is NULL. */
+typedef void (*KvCacheFn)(void *ctx, const char *key, GBytes *value,
                           uint64_t rev, int64_t now_us);
 
 typedef struct KvCache KvCache;
@@ -22,8 +20,8 @@
 void kvcache_free(KvCache *k);
 
 /* Applies a change, which must not be older than the cached state (not
- * checked).  Returns the result of the callback. */
-bool kvcache_apply(KvCache *k, const KvItem *it, int64_t now_us);
+ * checked). */
+void kvcache_apply(KvCache *k, const KvItem *it, int64_t now_us);
 
 /* Begins a list.  Its items are then passed to kvcache_apply() or
  * kvcache_merge(). */
@@ -35,10 +33,6 @@
  * may be out of date. */
 void kvcache_merge(KvCache *k, const KvPage *p, int64_t now_us);
 
-/* Highest revision of the pages merged so far.  Changes up to it may be in the
- * cache before the watch reports them. */
-uint64_t kvcache_merged_rev(const KvCache *k);
-
 /* Ends a list and removes the keys that were missing in each of the last
  * "lists" lists, including this one.  upto: revision of the list; keys with a
  * later revision are not expected in it.  Returns the number of keys missing
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -118,7 +118,7 @@
     f->backoff_us = 0;
 }
 
-static bool
+static void
 on_key(void *ctx, const char *key, GBytes *value, uint64_t rev, int64_t now_us)
 {
     Feed *f = ctx;
@@ -126,12 +126,12 @@
     if (value == NULL) {
         registration_removed(f->m->registration, key);
     }
-    return f->m->o.fns.changed(f->m->o.ctx, key, value, rev, now_us);
+    f->m->o.fns.changed(f->m->o.ctx, key, value, rev, now_us);
 }
 
 /* Applies events newer than the copy; an event may arrive twice, by a watch
- * and by gossip.  Those that other VMs need are added to the array "forward"
- * unless it is NULL. */
+ * and by gossip.  They are added to the array "forward" unless it is NULL:
+ * other VMs need them all, whatever their effect here is. */
 static void
 apply_events(Feed *f, const KvPage *p, GPtrArray *forward, int64_t now_us)
 {
@@ -140,11 +140,8 @@
         if (it->rev <= f->rev) {
             continue;
         }
-        /* A change that a list brought before has no effect here, but the
-         * other VMs may not have it. */
-        bool merged = it->rev <= kvcache_merged_rev(f->cache);
-        bool matters = kvcache_apply(f->cache, it, now_us) || merged;
-        if (matters && forward != NULL) {
+        kvcache_apply(f->cache, it, now_us);
+        if (forward != NULL) {
             g_ptr_array_add(forward, it);
         }
     }
@@ -296,8 +293,7 @@
             now_us + gossip_pause_us(m->o.propagation_us, by_gossip, sample));
 }
 
-/* Shows which events other VMs were not sent although the gossip covers their
- * revisions. */
+/* Shows which revisions and events other VMs were sent. */
 static void
 log_forwarded(const Feed *f, const KvPage *p, const GossipOut *o)
 {
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -8,9 +8,9 @@
  * continues from their revision, and resync finds the missed changes.  While
  * the store is unreachable, the copy in memory stays in use.  A key is removed
  * when an event says so, or when lists no longer contain it.  The VM's own
- * entry is kept under a lease (registration).  Changes that a watch returns
- * are forwarded to nearby VMs, and changes received from them defer this VM's
- * next watch (gossip).
+ * entry is kept under a lease (registration).  All events that a watch returns
+ * are forwarded to nearby VMs, also those without effect on this VM's own
+ * state, and events received from them defer this VM's next watch (gossip).
  */
 #ifndef MIMOSA_MIRROR_H
 #define MIMOSA_MIRROR_H
@@ -25,10 +25,8 @@
 #include "gossip.h"
 
 typedef struct MirrorFns {
-    /* A key was set, or removed if value is NULL.  Returns true if it has to
-     * be forwarded to other VMs; a change without effect on this VM need not
-     * be. */
-    bool (*changed)(void *ctx, const char *key, GBytes *value, uint64_t rev,
+    /* A key was set, or removed if value is NULL. */
+    void (*changed)(void *ctx, const char *key, GBytes *value, uint64_t rev,
                     int64_t now_us);
     /* All prefixes have been listed for the first time. */
     void (*ready)(void *ctx, int64_t now_us);
--- a/src/view.c
+++ b/src/view.c
@@ -46,7 +46,7 @@
     return v->table == NULL ? 0 : rt_version(v->table);
 }
 
-static bool
+static void
 apply_config(View *v, Str text)
 {
     Err e = {0};
@@ -57,11 +57,11 @@
         dlog_event(v->o.log, DLOG_WARN, "config",
                    "event=unreadable in_force=%" PRIu64 " error=\"%s\"",
                    current_version(v), dlog_quoted(e.text).s);
-        return true;
+        return;
     }
     if (v->table != NULL && rt_version(t) <= rt_version(v->table)) {
         rt_unref(t);
-        return false;
+        return;
     }
     dlog_event(v->o.log, DLOG_INFO, "config",
                "event=in_force version=%" PRIu64 " before=%" PRIu64,
@@ -69,10 +69,9 @@
     rt_unref(v->table);
     v->table = t;
     v->o.fns.routes(v->o.ctx, t);
-    return true;
 }
 
-static bool
+static void
 apply_report(View *v, Str id, const UpsReport *r, uint64_t rev, int64_t now_us)
 {
     static const char *const names[] = {"same",    "added", "restarted",
@@ -93,19 +92,17 @@
                    dlog_name(id).s, names[ch], dlog_name(r->service).s,
                    dlog_name(r->zone).s, rev, r->warmup_left_us / 1000);
     }
-    return ch != UPS_SAME;
 }
 
-static bool
+static void
 apply_upstream(View *v, Str id, Str text, uint64_t rev, int64_t now_us)
 {
     UpsReport r;
     gpointer storage = NULL;
     Err e = {0};
-    bool changed = true;
 
     if (pf_parse_upstream(id, text, &r, &storage, &e)) {
-        changed = apply_report(v, id, &r, rev, now_us);
+        apply_report(v, id, &r, rev, now_us);
     }
     else {
         v->unreadable++;
@@ -115,7 +112,6 @@
         ups_missing(v->o.upstreams, id, now_us);
     }
     pf_release_upstream(storage);
-    return changed;
 }
 
 static void
@@ -171,63 +167,61 @@
     ups_drain_zone(v->o.upstreams, zone, drained, now_us);
 }
 
-static bool
+static void
 apply_value(View *v, PfKind kind, Str name, Str text, uint64_t rev,
             int64_t now_us)
 {
     switch (kind) {
     case PF_CONFIG:
-        return apply_config(v, text);
+        apply_config(v, text);
+        break;
     case PF_UPSTREAM:
-        return apply_upstream(v, name, text, rev, now_us);
+        apply_upstream(v, name, text, rev, now_us);
+        break;
     case PF_DRAIN:
         apply_drain(v, name, true, rev, now_us);
-        return true;
+        break;
     case PF_VM:
         apply_vm(v, name, text);
-        return true;
+        break;
     case PF_OTHER:
         break;
     }
-    return false;
 }
 
-static bool
+static void
 apply_removal(View *v, PfKind kind, Str name, uint64_t rev, int64_t now_us)
 {
     switch (kind) {
     case PF_UPSTREAM:
         remove_upstream(v, name, rev, now_us);
-        return true;
+        break;
     case PF_DRAIN:
         apply_drain(v, name, false, rev, now_us);
-        return true;
+        break;
     case PF_VM:
         remove_vm(v, name, rev);
-        return true;
+        break;
     case PF_CONFIG: /* the current one stays in effect */
     case PF_OTHER:
         break;
     }
-    return false;
 }
 
-bool
+void
 view_apply(View *v, const char *key, GBytes *value, uint64_t rev,
            int64_t now_us)
 {
     Str name;
     Str text = {NULL, 0};
     PfKind kind = pf_parse_key(key, &name);
-    bool changed;
 
     if (value != NULL) {
         text.p = g_bytes_get_data(value, &text.n);
-        changed = apply_value(v, kind, name, text, rev, now_us);
+        apply_value(v, kind, name, text, rev, now_us);
     }
     else {
-        changed = apply_removal(v, kind, name, rev, now_us);
+        apply_removal(v, kind, name, rev, now_us);
     }
     ups_expire(v->o.upstreams, now_us);
-    return changed;
 }
--- a/src/view.h
+++ b/src/view.h
@@ -42,10 +42,8 @@
 View *view_new(const ViewOpts *o);
 void view_free(View *v);
 
-/* Applies an item of the store, or its removal if value is NULL.  Returns true
- * if other VMs need it too: it changed the state of this VM, or could not be
- * applied. */
-bool view_apply(View *v, const char *key, GBytes *value, uint64_t rev,
+/* Applies an item of the store, or its removal if value is NULL. */
+void view_apply(View *v, const char *key, GBytes *value, uint64_t rev,
                 int64_t now_us);
 
 /* Returns the configuration in effect, or NULL if there is none yet. */
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -107,7 +107,7 @@
     evl_stop(ctx);
 }
 
-static bool
+static void
 on_item(void *ctx, const char *key, GBytes *value, uint64_t rev,
         int64_t now_us)
 {
@@ -116,9 +116,10 @@
     (void)now_us;
 
     if (value == NULL) {
-        return g_hash_table_remove(s->keys, key);
+        g_hash_table_remove(s->keys, key);
+        return;
     }
-    return g_hash_table_add(s->keys, g_strdup(key));
+    g_hash_table_add(s->keys, g_strdup(key));
 }
 
 static void
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -133,6 +133,23 @@
 }
 END_TEST
 
+/* Guards against other VMs that never learn of a report (review/1): this VM
+ * knew its content already, but what others need follows from the store's
+ * events, not from their effect here. */
+START_TEST(events_without_effect_here_are_announced)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, EVENTS(ITEM("servers/a", "10"), "10")},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, PROPAGATION_US);
+    ck_assert_str_eq(s.announced, "servers/a ");
+}
+END_TEST
+
 /* Counts the calls, starting at index from, whose target contains the text. */
 static int
 calls_with(const Store *s, int from, const char *text)
@@ -270,7 +287,9 @@
        watch_starts_at_revision_of_oldest_page,
        list_is_repeated_if_history_was_dropped,
        resync_finds_changes_of_dropped_history,
-       changes_found_by_resync_are_announced, resync_is_in_time_if_copies_lag,
-       list_of_store_ends_resync, a_list_that_lacks_a_key_is_not_current,
+       changes_found_by_resync_are_announced,
+       events_without_effect_here_are_announced,
+       resync_is_in_time_if_copies_lag, list_of_store_ends_resync,
+       a_list_that_lacks_a_key_is_not_current,
        gossip_defers_calls_while_store_refuses,
        watch_after_failure_does_not_wait)
