Never return a key of the store to an earlier revision

Callers could be sent to an upstream that had left, or to a drained zone, for as long as the next answer of the store took: the copy of the store held the later state from a list, and then applied older events.

Cause: the events of a watch, and the items of a list, were applied without a look at the revision that the cache had of the key. A watch continues from the oldest page of a list, or from the revision of the urgent keys, so that it brings events which are older than what later pages or a resync brought; a few hundred events at a time. A key that a list lacked left no trace, so that an older event, or an older copy of the store, added it again.

Change: the cache holds the revision up to which all events were applied. It applies events and items that are newer than the state of their key only, and keeps a tombstone of each removed key until that revision has reached the removal.

--- a/src/kvcache.c
+++ b/src/kvcache.c
@@ -11,7 +11,9 @@
     KvCacheFn changed;
     void *ctx;
     uint32_t round; /* number of the current list; 0: none yet */
+    uint64_t rev;   /* see kvcache_rev() */
     bool keep_removed;
+    int n_removed;       /* tombstones */
     GHashTable *entries; /* key -> Entry */
 };
 
@@ -34,19 +36,47 @@
     g_free(k);
 }
 
-void
-kvcache_apply(KvCache *k, const KvItem *it, int64_t now_us)
+static void
+set_removed(KvCache *k, Entry *e, bool removed)
+{
+    k->n_removed += (removed ? 1 : 0) - (e->removed ? 1 : 0);
+    e->removed = removed;
+}
+
+/* Drops the tombstones that nothing older than the removal can follow. */
+static void
+drop_tombstones(KvCache *k)
 {
-    if (it->deleted && !k->keep_removed) {
-        g_hash_table_remove(k->entries, it->key);
+    GHashTableIter it;
+    gpointer v;
+
+    if (k->n_removed == 0 || k->keep_removed) {
+        return;
+    }
+    g_hash_table_iter_init(&it, k->entries);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        const Entry *e = v;
+        if (e->removed && e->rev <= k->rev) {
+            k->n_removed--;
+            g_hash_table_iter_remove(&it);
+        }
     }
-    else {
-        Entry *e = g_new(Entry, 1);
-        *e = (Entry){k->round, it->rev, it->deleted};
-        g_hash_table_replace(k->entries, g_strdup(it->key), e);
+}
+
+static void
+apply(KvCache *k, const KvItem *item, int64_t now_us)
+{
+    Entry *e = g_hash_table_lookup(k->entries, item->key);
+
+    if (e == NULL) {
+        e = g_new0(Entry, 1);
+        g_hash_table_insert(k->entries, g_strdup(item->key), e);
     }
-    k->changed(k->ctx, it->key, it->deleted ? NULL : it->value, it->rev,
-               now_us);
+    e->round = k->round;
+    e->rev = item->rev;
+    set_removed(k, e, item->deleted);
+    k->changed(k->ctx, item->key, item->deleted ? NULL : item->value,
+               item->rev, now_us);
 }
 
 void
@@ -65,10 +95,13 @@
 kvcache_merge(KvCache *k, const KvPage *p, int64_t now_us)
 {
     for (guint i = 0; i < p->items->len; i++) {
-        const KvItem *it = &g_array_index(p->items, KvItem, i);
-        Entry *e = g_hash_table_lookup(k->entries, it->key);
-        if (e == NULL || it->rev > e->rev) {
-            kvcache_apply(k, it, now_us);
+        const KvItem *item = &g_array_index(p->items, KvItem, i);
+        Entry *e = g_hash_table_lookup(k->entries, item->key);
+        /* A key that an earlier list lacked was not removed if a later list
+         * has it. */
+        if (e == NULL || item->rev > e->rev ||
+            (e->removed && p->rev >= e->rev)) {
+            apply(k, item, now_us);
         }
         else {
             e->round = k->round;
@@ -86,33 +119,60 @@
 
     g_hash_table_iter_init(&it, k->entries);
     while (g_hash_table_iter_next(&it, &key, &v)) {
-        const Entry *e = v;
+        Entry *e = v;
         uint32_t age = k->round - e->round;
         if (e->removed || e->rev > upto || age == 0) {
             continue;
         }
         missing++;
         if (age >= lists) {
+            e->rev = upto;
+            set_removed(k, e, true);
             k->changed(k->ctx, key, NULL, upto, now_us);
-            g_hash_table_iter_remove(&it);
         }
     }
+    drop_tombstones(k);
     return missing;
 }
 
+uint64_t
+kvcache_rev(const KvCache *k)
+{
+    return k->rev;
+}
+
 void
-kvcache_keep_removed(KvCache *k, bool keep)
+kvcache_set_rev(KvCache *k, uint64_t rev)
 {
-    GHashTableIter it;
-    gpointer v;
+    k->rev = rev;
+    drop_tombstones(k);
+}
 
-    k->keep_removed = keep;
-    g_hash_table_iter_init(&it, k->entries);
-    while (!keep && g_hash_table_iter_next(&it, NULL, &v)) {
-        if (((const Entry *)v)->removed) {
-            g_hash_table_iter_remove(&it);
+void
+kvcache_apply_events(KvCache *k, const KvPage *p, GPtrArray *following,
+                     int64_t now_us)
+{
+    for (guint i = 0; i < p->items->len; i++) {
+        KvItem *item = &g_array_index(p->items, KvItem, i);
+        if (item->rev <= k->rev) {
+            continue;
+        }
+        const Entry *e = g_hash_table_lookup(k->entries, item->key);
+        if (e == NULL || item->rev > e->rev) {
+            apply(k, item, now_us);
+        }
+        if (following != NULL) {
+            g_ptr_array_add(following, item);
         }
     }
+    kvcache_set_rev(k, MAX(k->rev, p->rev));
+}
+
+void
+kvcache_keep_removed(KvCache *k, bool keep)
+{
+    k->keep_removed = keep;
+    drop_tombstones(k);
 }
 
 void
@@ -120,10 +180,14 @@
 {
     GHashTableIter it;
     gpointer key;
+    gpointer v;
 
     g_hash_table_iter_init(&it, k->entries);
-    while (g_hash_table_iter_next(&it, &key, NULL)) {
-        k->changed(k->ctx, key, NULL, rev, now_us);
+    while (g_hash_table_iter_next(&it, &key, &v)) {
+        if (!((const Entry *)v)->removed) {
+            k->changed(k->ctx, key, NULL, rev, now_us);
+        }
         g_hash_table_iter_remove(&it);
     }
+    k->n_removed = 0;
 }
--- a/src/kvcache.h
+++ b/src/kvcache.h
@@ -1,6 +1,10 @@
 /*
- * kvcache - the keys of the store that this VM holds, each with its revision,
- * so that an out-of-date copy of the store does not overwrite newer values.
+ * kvcache - the keys of the store that this VM holds, each with the revision
+ * of its last change, and the revision up to which all events were applied.
+ *
+ * The content follows from the store's answers alone, in any order of lists,
+ * events and copies of the store that are out of date: a key never returns to
+ * an earlier revision.
  */
 #ifndef MIMOSA_KVCACHE_H
 #define MIMOSA_KVCACHE_H
@@ -19,17 +23,12 @@
 KvCache *kvcache_new(KvCacheFn changed, void *ctx);
 void kvcache_free(KvCache *k);
 
-/* Applies a change, which must not be older than the cached state (not
- * checked). */
-void kvcache_apply(KvCache *k, const KvItem *it, int64_t now_us);
-
-/* Begins a list.  Its items are then passed to kvcache_apply() or
- * kvcache_merge(). */
+/* Begins a list.  Its pages are then passed to kvcache_merge(). */
 void kvcache_begin_list(KvCache *k);
 /* Returns true until the first list begins. */
 bool kvcache_never_listed(const KvCache *k);
 
-/* Applies the items of a page that are newer than the cached ones; the list
+/* Applies the items of a page that are newer than the cached ones; the page
  * may be out of date. */
 void kvcache_merge(KvCache *k, const KvPage *p, int64_t now_us);
 
@@ -40,8 +39,22 @@
 int kvcache_drop_missing(KvCache *k, uint64_t upto, uint32_t lists,
                          int64_t now_us);
 
-/* While keep is true, entries of removed keys are kept as tombstones, since a
- * list that is older than a removal would add the key again. */
+/* Revision up to which all events were applied, or 0. */
+uint64_t kvcache_rev(const KvCache *k);
+/* Sets it to the revision of a list, whose later events follow. */
+void kvcache_set_rev(KvCache *k, uint64_t rev);
+
+/* Applies the events of a page that follow kvcache_rev(), without those that
+ * are older than the cached state of their key; events may arrive twice.
+ * following, if not NULL: gets all events after kvcache_rev(), KvItem of the
+ * page.  Another cache at that revision needs them all, whatever their effect
+ * here was. */
+void kvcache_apply_events(KvCache *k, const KvPage *p, GPtrArray *following,
+                          int64_t now_us);
+
+/* While keep is true, all tombstones of removed keys are kept, since a list
+ * that is older than a removal would add the key again.  Otherwise those are
+ * kept whose removal kvcache_rev() has not reached. */
 void kvcache_keep_removed(KvCache *k, bool keep);
 
 /* Drops all keys; each counts as removed at revision rev. */
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -39,7 +39,6 @@
                         is current, see mirror_revalidate() */
     bool listed;     /* a list was completed at least once */
     char *after;     /* last key of the previous page */
-    uint64_t rev;    /* revision to watch from */
     bool relist;     /* list again: keys missing or events unreadable */
     bool pausing;    /* the timer runs for the next watch */
     bool missed;     /* gossip showed missing revisions.  Other VMs then watch
@@ -112,7 +111,7 @@
     if (f->failing) {
         dlog_event(f->m->o.log, DLOG_INFO, "store",
                    "event=regained prefix=%s rev=%" G_GUINT64_FORMAT,
-                   f->prefix, f->rev);
+                   f->prefix, kvcache_rev(f->cache));
     }
     f->failing = false;
     f->backoff_us = 0;
@@ -129,25 +128,6 @@
     f->m->o.fns.changed(f->m->o.ctx, key, value, rev, now_us);
 }
 
-/* Applies events newer than the copy; an event may arrive twice, by a watch
- * and by gossip.  They are added to the array "forward" unless it is NULL:
- * other VMs need them all, whatever their effect here is. */
-static void
-apply_events(Feed *f, const KvPage *p, GPtrArray *forward, int64_t now_us)
-{
-    for (guint i = 0; i < p->items->len; i++) {
-        KvItem *it = &g_array_index(p->items, KvItem, i);
-        if (it->rev <= f->rev) {
-            continue;
-        }
-        kvcache_apply(f->cache, it, now_us);
-        if (forward != NULL) {
-            g_ptr_array_add(forward, it);
-        }
-    }
-    f->rev = MAX(f->rev, p->rev);
-}
-
 static void
 notify_ready(Mirror *m, int64_t now_us)
 {
@@ -219,7 +199,8 @@
         feed_watch(f);
         return;
     }
-    f->relist = kvcache_drop_missing(f->cache, f->rev, 2, now_us) > 0;
+    f->relist =
+        kvcache_drop_missing(f->cache, kvcache_rev(f->cache), 2, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
     f->listing = false;
     f->confirmed_us = evl_boottime();
@@ -242,15 +223,13 @@
         feed_failed(f, "list", status, now_us);
         return;
     }
-    if (f->after == NULL || p.rev < f->rev) {
+    if (f->after == NULL || p.rev < kvcache_rev(f->cache)) {
         /* The watch returns changes made during the listing again.  A later
          * page may come from an older copy of the store, so the oldest
          * revision counts. */
-        f->rev = p.rev;
-    }
-    for (guint i = 0; i < p.items->len; i++) {
-        kvcache_apply(f->cache, &g_array_index(p.items, KvItem, i), now_us);
+        kvcache_set_rev(f->cache, p.rev);
     }
+    kvcache_merge(f->cache, &p, now_us);
     if (p.more && p.items->len > 0) {
         g_free(f->after);
         f->after =
@@ -312,9 +291,9 @@
 {
     Mirror *m = f->m;
     GPtrArray *forward = g_ptr_array_new();
-    uint64_t from = f->rev;
+    uint64_t from = kvcache_rev(f->cache);
 
-    apply_events(f, p, forward, now_us);
+    kvcache_apply_events(f->cache, p, forward, now_us);
     int64_t since_failure_us =
         f->failed_us == 0 ? INT64_MAX : now_us - f->failed_us;
     if (!f->missed && !f->confirming &&
@@ -323,7 +302,7 @@
                         since_failure_us)) {
         GossipOut o = {.feed = (int)(f - m->feeds),
                        .from = from,
-                       .to = f->rev,
+                       .to = kvcache_rev(f->cache),
                        .items = (const KvItem *const *)forward->pdata,
                        .n = (int)forward->len};
         m->o.fns.announce(m->o.ctx, &o);
@@ -342,11 +321,11 @@
     if (f->listing || !f->listed || f->relist || f->urgent_pending) {
         return;
     }
-    switch (gossip_order(f->rev, w->from, w->page.rev)) {
+    switch (gossip_order(kvcache_rev(f->cache), w->from, w->page.rev)) {
     case GOSSIP_OLD:
         break;
     case GOSSIP_NEXT:
-        apply_events(f, &w->page, NULL, now_us);
+        kvcache_apply_events(f->cache, &w->page, NULL, now_us);
         f->confirmed_us = evl_boottime();
         /* A VM whose calls the store refuses stays current by gossip. */
         if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed) {
@@ -382,11 +361,11 @@
         return;
     }
     kvcache_merge(f->cache, &p, now_us);
-    f->rev = p.rev;
+    kvcache_set_rev(f->cache, p.rev);
     kv_page_clear(&p);
     feed_succeeded(f);
     feed_pause(f, false, now_us);
-    resync_run(f->resync, f->rev);
+    resync_run(f->resync, kvcache_rev(f->cache));
 }
 
 /* Reads the urgent keys; the watch continues from their revision. */
@@ -402,7 +381,7 @@
 static void
 drop_unconfirmed(Feed *f, int64_t now_us)
 {
-    kvcache_clear(f->cache, f->rev, now_us);
+    kvcache_clear(f->cache, kvcache_rev(f->cache), now_us);
     f->confirming = false;
 }
 
@@ -433,7 +412,7 @@
         dlog_event(f->m->o.log, DLOG_INFO, "store",
                    "event=%s prefix=%s rev=%" G_GUINT64_FORMAT,
                    status == 410 ? "history_gone" : "events_too_large",
-                   f->prefix, f->rev);
+                   f->prefix, kvcache_rev(f->cache));
         list_instead(f, now_us);
         return;
     }
@@ -459,7 +438,7 @@
     if (n >= BEHIND_EVENTS) {
         dlog_event(f->m->o.log, DLOG_INFO, "store",
                    "event=behind prefix=%s rev=%" G_GUINT64_FORMAT, f->prefix,
-                   f->rev);
+                   kvcache_rev(f->cache));
         changes_missed(f, now_us);
         feed_watch(f);
         return;
@@ -482,7 +461,8 @@
 
     f->m->calls++;
     f->watch_start_us = evl_boottime();
-    kv_call(f->conn, f->m->o.codec->watch(f->prefix, f->rev, wait_ms),
+    kv_call(f->conn,
+            f->m->o.codec->watch(f->prefix, kvcache_rev(f->cache), wait_ms),
             limit_us, on_watch, f);
 }
 
--- a/tests/copies_world.h
+++ b/tests/copies_world.h
@@ -36,7 +36,7 @@
 } Change;
 
 typedef struct Record {
-    uint64_t put_rev; /* revision of the last value */
+    uint64_t put_rev; /* highest revision of a value */
     bool removed;
 } Record;
 
@@ -48,6 +48,7 @@
     Vml *vms;
     UconnPool *pool;
     GHashTable *records; /* key -> Record */
+    int n_regressed;     /* values that returned to an earlier revision */
 } CopyVm;
 
 /* A watch that waits for an event. */
@@ -274,6 +275,7 @@
     }
     r->removed = value == NULL;
     if (value != NULL) {
+        vm->n_regressed += rev < r->put_rev ? 1 : 0;
         r->put_rev = rev;
     }
     view_apply(vm->view, key, value, rev, now_us);
--- a/tests/test_mirror_copies.c
+++ b/tests/test_mirror_copies.c
@@ -170,6 +170,11 @@
         evl_arm(p.w.loop, &p.timer, evl_now(p.w.loop) + PROPAGATION_US);
         evl_run(p.w.loop);
         ck_assert_msg(p.wrong[0] == '\0', "seed %u: %s", seed, p.wrong);
+        for (int i = 0; i < VMS; i++) {
+            ck_assert_msg(p.w.vms[i].n_regressed == 0,
+                          "seed %u: VM %d returned to earlier values %d times",
+                          seed, i, p.w.vms[i].n_regressed);
+        }
         copies_free(&p.w);
     }
 }
--- a/tests/test_regain.c
+++ b/tests/test_regain.c
@@ -128,7 +128,7 @@
     evl_stop(((Net *)ctx)->loop);
 }
 
-static bool
+static void
 on_item(void *ctx, const char *key, GBytes *value, uint64_t rev,
         int64_t now_us)
 {
@@ -138,7 +138,6 @@
     if (value == NULL && strcmp(key, "servers/left") == 0) {
         vm->known_us = now_us;
     }
-    return true;
 }
 
 static void
