Log what a connection dropped behind its last response

Change: lossy_end carries the phase, the requests read, the bytes that were read and dropped, and the age of the last input; it is also logged when only dropped input is known.

Measured: test_caller, _close, _ends, _pipelined and _stop pass.

--- a/src/caller.c
+++ b/src/caller.c
@@ -34,19 +34,28 @@
 }
 
 static void
-report_loss(Caller *c, CallerEnd end)
+report_loss(const Caller *c, CallerEnd end)
 {
-    const CallerFns *fns = &c->set->o.fns;
+    static const char *const phases[] = {"reading", "responding", "finishing",
+                                         "lingering"};
+    const CallerSet *s = c->set;
     CallerLoss x = {
         .end = end,
-        .unread = strm_unread(&c->strm),
-        .partial = caller_partial(c),
-        .unsent = c->strm.out->len,
-        .unacked = strm_unacked(&c->strm),
+        .phase = phases[c->phase],
+        .requests = c->requests,
+        .discarded = c->discarded,
+        .input_age_us =
+            c->input_us == 0 ? -1 : evl_now(s->o.loop) - c->input_us,
     };
 
-    if (x.unread + x.partial + x.unsent + x.unacked > 0) {
-        fns->lossy_end(c->set->o.ctx, &x);
+    if (!c->strm.eof && end != CALLER_END_PEER) {
+        x.unread = strm_unread(&c->strm);
+        x.partial = caller_partial(c);
+        x.unsent = c->strm.out->len;
+        x.unacked = strm_unacked(&c->strm);
+    }
+    if (x.discarded + x.unread + x.partial + x.unsent + x.unacked > 0) {
+        s->o.fns.lossy_end(s->o.ctx, &x);
     }
 }
 
@@ -58,7 +67,7 @@
     if (c->closed) {
         return;
     }
-    if (!c->strm.eof && end != CALLER_END_PEER && s->o.fns.lossy_end != NULL) {
+    if (s->o.fns.lossy_end != NULL) {
         report_loss(c, end);
     }
     s->ended[end]++;
@@ -138,6 +147,13 @@
     strm_pause(&c->strm, false);
 }
 
+static void
+discard_input(Caller *c)
+{
+    c->discarded += c->strm.in->len;
+    g_byte_array_set_size(c->strm.in, 0);
+}
+
 static void
 finish(Caller *c)
 {
@@ -145,7 +161,7 @@
         c->set->busy--;
     }
     c->phase = PHASE_FINISHING;
-    g_byte_array_set_size(c->strm.in, 0);
+    discard_input(c);
     update_buffered(c);
     strm_pause(&c->strm, false);
     if (c->strm.out->len == 0) {
@@ -320,7 +336,7 @@
     Err e = {0};
 
     if (c->phase >= PHASE_FINISHING) {
-        g_byte_array_set_size(c->strm.in, 0);
+        discard_input(c);
         return;
     }
     if (c->phase == PHASE_RESPONDING) {
@@ -357,7 +373,7 @@
     }
     else if (st == H1_DONE) {
         c->phase = PHASE_RESPONDING;
-        c->used = true;
+        c->requests++;
         s->busy++;
         /* One request at a time.  Further input is buffered; beyond head_bytes
          * on_stream() suspends reads, so that it stays in the kernel. */
@@ -402,6 +418,7 @@
 
     switch (ev) {
     case STRM_READABLE:
+        c->input_us = evl_now(c->set->o.loop);
         if (c->phase == PHASE_RESPONDING &&
             c->strm.in->len > caller_limits(c).head_bytes) {
             strm_pause(&c->strm, true);
--- a/src/caller.h
+++ b/src/caller.h
@@ -30,13 +30,17 @@
     CALLER_ENDS
 } CallerEnd;
 
-/* What may have been lost when this side closed a connection. */
+/* What may have been lost when a connection ended. */
 typedef struct CallerLoss {
     CallerEnd end;
-    size_t unread;  /* bytes in the kernel that were not read */
-    size_t partial; /* bytes of a request that was not read completely */
-    size_t unsent;  /* bytes of a response not passed to the kernel */
-    size_t unacked; /* bytes that the caller has not acknowledged */
+    const char *phase; /* of the connection when it ended */
+    int requests;      /* complete requests read on the connection */
+    size_t discarded;  /* bytes read behind the last response, and dropped */
+    int64_t input_age_us; /* since the last input; -1: there was none */
+    size_t unread;        /* bytes in the kernel that were not read */
+    size_t partial;       /* bytes of a request that was not read completely */
+    size_t unsent;        /* bytes of a response not passed to the kernel */
+    size_t unacked;       /* bytes that the caller has not acknowledged */
 } CallerLoss;
 
 typedef struct CallerFns {
@@ -49,8 +53,8 @@
     void (*flushed)(void *ctx, void *user);
     /* A request was rejected before it was read completely. */
     void (*rejected)(void *ctx, int status, const Err *e);
-    /* This side closed a connection while a figure of *x was not 0.  May be
-     * NULL. */
+    /* A connection ended while a count of bytes of *x was not 0: this side
+     * closed it, or has dropped input.  May be NULL. */
     void (*lossy_end)(void *ctx, const CallerLoss *x);
 } CallerFns;
 
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -29,10 +29,12 @@
                            being delivered */
     size_t undelivered; /* bytes for the caller at the last timeout check */
     size_t buffered;    /* bytes of this caller in CallerSet.buffered */
+    int requests;       /* complete requests read */
+    size_t discarded;   /* see CallerLoss */
+    int64_t input_us;   /* time of the last input; 0: none */
     RtLimits limits;    /* in effect at the first byte of the request */
     bool begun;         /* the first byte of a request was read */
     bool in_head;       /* a part of a head was read */
-    bool used;          /* a complete request was read */
     bool over_limit;    /* accepted beyond max_callers */
     bool chunked;       /* the current response is chunked */
     bool closing;       /* close when the response is written */
--- a/src/callers.c
+++ b/src/callers.c
@@ -316,7 +316,7 @@
 close_idle(Caller *c, int64_t now_us)
 {
     if (stays_idle(c) &&
-        (c->used || now_us - c->since_us > FIRST_REQUEST_US)) {
+        (c->requests > 0 || now_us - c->since_us > FIRST_REQUEST_US)) {
         caller_linger(c, CALLER_END_IDLE);
     }
 }
--- a/src/px.c
+++ b/src/px.c
@@ -235,10 +235,12 @@
     p->lossy_ends++;
     if (dlog_admit(p->o.log, true, evl_now(p->o.loop))) {
         dlog_event(p->o.log, DLOG_WARN, "caller",
-                   "event=lossy_end end=%s unread=%zu partial=%zu unsent=%zu "
-                   "unacked=%zu",
-                   caller_end_name(x->end), x->unread, x->partial, x->unsent,
-                   x->unacked);
+                   "event=lossy_end end=%s phase=%s requests=%d "
+                   "discarded=%zu unread=%zu partial=%zu unsent=%zu "
+                   "unacked=%zu input_age_ms=%" PRId64,
+                   caller_end_name(x->end), x->phase, x->requests,
+                   x->discarded, x->unread, x->partial, x->unsent, x->unacked,
+                   x->input_age_us / 1000);
     }
 }
 
