--- a/src/view.c
+++ b/src/view.c
@@ -64,8 +64,10 @@
         return;
     }
     dlog_event(v->o.log, DLOG_INFO, "config",
-               "event=in_force version=%" PRIu64 " before=%" PRIu64,
-               rt_version(t), current_version(v));
+               "event=in_force version=%" PRIu64 " before=%" PRIu64
+               " idle_ms=%" PRId64,
+               rt_version(t), current_version(v),
+               rt_limits(t)->idle_us / 1000);
     rt_unref(v->table);
     v->table = t;
     v->o.fns.routes(v->o.ctx, t);
