Reset a connection whose request crosses an idle close

Cause: an idle connection is closed in its sending direction first, and what arrives after that is read and dropped until the caller closes too. If the packet of the close is lost, which the kernel sends again after about 200 ms, the caller sends a request meanwhile and hears nothing until then. At a planned stop it is the same for the first request of a new connection.

Change: input on a connection that was closed as idle, and whose responses the caller had all received by then, ends it with a reset. The caller knows within a round trip that the request was not taken, and can send it again. The half-closed state stays for callers that may not have received a response.

--- a/src/caller.c
+++ b/src/caller.c
@@ -143,6 +143,7 @@
     c->phase = PHASE_LINGERING;
     c->end = end;
     c->since_us = evl_now(c->set->o.loop);
+    c->idle_end = end != CALLER_END_RESPONSE && strm_unacked(&c->strm) == 0;
     strm_end_output(&c->strm);
     strm_pause(&c->strm, false);
 }
@@ -337,6 +338,13 @@
 
     if (c->phase >= PHASE_FINISHING) {
         discard_input(c);
+        if (c->idle_end) {
+            /* The request has crossed the close, whose packet may be lost, and
+             * gets no response.  The reset tells the caller at once that it
+             * can send the request again. */
+            strm_reset_at_close(&c->strm);
+            caller_close(c, c->end);
+        }
         return;
     }
     if (c->phase == PHASE_RESPONDING) {
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -38,6 +38,8 @@
     bool over_limit;    /* accepted beyond max_callers */
     bool chunked;       /* the current response is chunked */
     bool closing;       /* close when the response is written */
+    bool idle_end;      /* lingers, was closed without a request, and the
+                           caller has received all responses */
     bool closed; /* memory is released at the end of the loop iteration */
     GList link;
 };
--- a/src/strm.c
+++ b/src/strm.c
@@ -298,16 +298,22 @@
 }
 
 void
-strm_abort(Strm *s)
+strm_reset_at_close(Strm *s)
 {
     struct linger now = {.l_onoff = 1, .l_linger = 0};
 
     if (s->open) {
         setsockopt(s->ev.fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-        strm_close(s);
     }
 }
 
+void
+strm_abort(Strm *s)
+{
+    strm_reset_at_close(s);
+    strm_close(s);
+}
+
 static size_t
 kernel_bytes(const Strm *s, unsigned long query)
 {
--- a/src/strm.h
+++ b/src/strm.h
@@ -74,6 +74,8 @@
  * has not received.  After strm_close() the kernel still delivers them,
  * seconds later if the network delays them. */
 void strm_abort(Strm *s);
+/* Makes strm_close() end the connection like strm_abort(). */
+void strm_reset_at_close(Strm *s);
 
 /* Bytes that the kernel has received and the owner has not read; 0 if not
  * known. */
--- a/tests/test_caller_ends.c
+++ b/tests/test_caller_ends.c
@@ -7,6 +7,8 @@
 #define PIECE_US 50000
 #define LATE_US 2000000              /* more than LINGER_US and one check */
 #define FIRST_REQUEST_PART_US 100000 /* less than FIRST_REQUEST_US */
+#define FIRST_REQUEST_LATE_US 300000 /* more than FIRST_REQUEST_US */
+#define LOST_SLACK_US 200000         /* by which a caller has to know */
 
 /* Replaces the set by one whose idle timeout exceeds LATE_US. */
 static void
@@ -146,9 +148,69 @@
 }
 END_TEST
 
+/* Sends a request on a connection whose close the client has not noticed, and
+ * returns the time until the client learns that it gets no response. */
+static int64_t
+time_to_reset(World *w)
+{
+    char byte;
+
+    send_text(w, get_request);
+    int64_t sent_us = evl_boottime();
+    while (send(w->client, "", 0, MSG_NOSIGNAL) == 0 &&
+           (recv(w->client, &byte, 1, MSG_DONTWAIT) >= 0 || errno == EAGAIN) &&
+           evl_boottime() - sent_us < LATE_US) {
+        evl_run_once(w->loop, 1);
+        g_usleep(1000);
+    }
+    return evl_boottime() - sent_us;
+}
+
+/* Guards against a request that waits without a response, here for up to 1.5 s
+ * (LOST on grown Lankasound): it crosses the close of an idle connection, as
+ * the packet of the close is lost, and is read and dropped. */
+START_TEST(a_request_that_crosses_an_idle_close_is_reset_at_once)
+{
+    World w;
+
+    world_init(&w, 10);
+    connect_client(&w, 0);
+    send_text(&w, get_request);
+    run(&w);
+    ck_assert_int_eq(w.requests, 1);
+    while (callers_ended(w.set, CALLER_END_TIMEOUT) == 0 &&
+           recv(w.client, (char[256]){0}, 256, MSG_DONTWAIT) != 0) {
+        run_for(&w, PIECE_US);
+    }
+    ck_assert_int_eq(callers_open(w.set), 1);
+    ck_assert_int_lt(time_to_reset(&w), LOST_SLACK_US);
+    ck_assert_int_eq(w.requests, 1);
+    world_clear(&w);
+}
+END_TEST
+
+/* Guards against the same at a planned stop, for the first request of a new
+ * connection (review/3). */
+START_TEST(a_first_request_that_crosses_the_close_of_a_stop_is_reset_at_once)
+{
+    World w;
+
+    world_init(&w, 10);
+    connect_client(&w, 0);
+    run_for(&w, FIRST_REQUEST_LATE_US);
+    callers_close_idle(w.set);
+    ck_assert_int_eq(callers_open(w.set), 1);
+    ck_assert_int_lt(time_to_reset(&w), LOST_SLACK_US);
+    ck_assert_int_eq(w.requests, 0);
+    world_clear(&w);
+}
+END_TEST
+
 T_MAIN("caller_ends", a_refusal_reaches_a_caller_that_sends_its_body_slowly,
        a_request_not_read_yet_on_a_kept_connection_is_answered_at_a_stop,
        a_request_read_in_part_is_refused_with_503_at_the_end_of_a_stop,
        a_caller_is_busy_until_it_has_received_its_last_response,
        a_caller_that_reads_late_gets_the_response_whole,
-       the_first_request_of_a_connection_opened_at_a_stop_is_answered)
+       the_first_request_of_a_connection_opened_at_a_stop_is_answered,
+       a_request_that_crosses_an_idle_close_is_reset_at_once,
+       a_first_request_that_crosses_the_close_of_a_stop_is_reset_at_once)
