Close idle connections whole once nothing can be lost

Cause: the half-closed state, which reads and drops what arrives, protects a response that the caller may not have read. A connection without any request has no such response, and on one whose caller received its last response a second ago it is read.

Change: these are closed whole; the kernel resets a request that arrives later, without the process taking it. The state stays for connections that were in use a moment before.

--- a/src/caller.c
+++ b/src/caller.c
@@ -136,14 +136,17 @@
 void
 caller_linger(Caller *c, CallerEnd end)
 {
-    if (c->strm.eof) {
+    int64_t now_us = evl_now(c->set->o.loop);
+
+    c->idle_end = end != CALLER_END_RESPONSE && strm_unacked(&c->strm) == 0;
+    if (c->strm.eof || (c->idle_end && (c->requests == 0 ||
+                                        now_us - c->since_us > LINGER_US))) {
         caller_close(c, end);
         return;
     }
     c->phase = PHASE_LINGERING;
     c->end = end;
-    c->since_us = evl_now(c->set->o.loop);
-    c->idle_end = end != CALLER_END_RESPONSE && strm_unacked(&c->strm) == 0;
+    c->since_us = now_us;
     strm_end_output(&c->strm);
     strm_pause(&c->strm, false);
 }
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -8,6 +8,10 @@
 #include "caller.h"
 #include "strm.h"
 
+/* Time that a connection stays open after the caller has received the last
+ * response, to discard what it still sends. */
+#define LINGER_US 1000000
+
 typedef enum CallerPhase {
     PHASE_READING,    /* idle, or reads a request */
     PHASE_RESPONDING, /* a complete request waits for its response */
@@ -68,10 +72,11 @@
 /* Closes the connection; the memory is released at the end of the loop
  * iteration. */
 void caller_close(Caller *c, CallerEnd end);
-/* Closes the sending direction of a connection without a request, for this
- * reason, and the connection when the caller has closed too.  A close with
- * unread input would make the kernel reset the connection, which discards what
- * the caller has not received. */
+/* Closes a connection without a request, for this reason.  While the caller
+ * may not have read its last response, only the sending direction is closed
+ * until the caller has closed too: a request that crosses the close would make
+ * the kernel reset the connection, which discards what the caller has not
+ * read. */
 void caller_linger(Caller *c, CallerEnd end);
 /* The limits for the caller's request: those at its first byte or the current
  * ones, whichever allow more. */
--- a/src/callers.c
+++ b/src/callers.c
@@ -17,9 +17,6 @@
 /* Time for which a new connection may wait for its first request when idle
  * connections are closed.  The request is likely on its way. */
 #define FIRST_REQUEST_US 250000
-/* Time that a connection stays open after the caller has received the last
- * response, to discard what it still sends. */
-#define LINGER_US 1000000
 
 static const char *const end_names[CALLER_ENDS] = {"peer", "response",
                                                    "timeout", "idle", "abort"};
