Bound what callers that do not read keep of responses without end

Cause: each such response keeps up to 256 KB for its caller, in an array that GLib grows to 512 KB. The route's timeout truncates the response after 1.5 s, but what the caller had not read stayed until the idle limit, 15 s; the next requests added theirs. What a request holds before the first byte is passed on was not counted at all.

Change: - a truncated response drops its undelivered bytes, unless an earlier response of the connection is among them; - bytes that are held for a response count among the buffered bytes of the set, and when these exceed half of their limit, 16 KB per request are held and written instead of 256 KB; - output buffers and the bodies of streamed responses release their memory when they are empty.

--- a/src/caller.c
+++ b/src/caller.c
@@ -114,7 +114,8 @@
 update_buffered(Caller *c)
 {
     CallerSet *s = c->set;
-    size_t buffered = c->strm.in->len + c->strm.out->len + c->req.body->len;
+    size_t buffered =
+        c->strm.in->len + c->strm.out->len + c->req.body->len + c->held;
 
     s->buffered += buffered - c->buffered;
     c->buffered = buffered;
@@ -177,6 +178,8 @@
 response_complete(Caller *c)
 {
     c->user = NULL;
+    c->held = 0;
+    c->own_output = false;
     if (c->closed) {
         return;
     }
@@ -260,6 +263,7 @@
         return;
     }
     c->chunked = length < 0;
+    c->own_output = c->strm.out->len == 0;
     if (length >= 0) {
         snprintf(framing, sizeof(framing), "Content-Length: %" PRId64 "\r\n",
                  length);
@@ -303,11 +307,35 @@
 caller_abort(Caller *c)
 {
     c->user = NULL;
+    c->held = 0;
+    if (c->closed) {
+        return;
+    }
+    if (c->own_output) {
+        /* A caller that reads slowly or not at all would keep this memory
+         * until the idle limit, and the response is useless to it. */
+        strm_drop_output(&c->strm);
+    }
+    finish(c);
+}
+
+void
+caller_hold(Caller *c, size_t n)
+{
     if (!c->closed) {
-        finish(c);
+        c->held = n;
+        update_buffered(c);
     }
 }
 
+bool
+caller_memory_is_short(const Caller *c)
+{
+    const CallerSet *s = c->set;
+
+    return s->buffered > s->o.max_buffered_bytes / 2;
+}
+
 void
 caller_respond_text(Caller *c, int status, const char *text, int64_t retry_us)
 {
--- a/src/caller.h
+++ b/src/caller.h
@@ -64,7 +64,8 @@
     /* Requests on connections beyond this number get 503; some further
      * connections wait to be accepted. */
     int max_callers;
-    size_t max_buffered_bytes; /* buffered requests and responses, in total */
+    size_t max_buffered_bytes; /* requests and responses in total, with what
+                                  caller_hold() counts */
     RtLimits limits;
     CallerFns fns;
     void *ctx;
@@ -121,11 +122,18 @@
 void caller_begin(Caller *c, Str head, int64_t length);
 void caller_write(Caller *c, const void *p, size_t n);
 void caller_end(Caller *c);
-/* Ends the connection so that the response is seen to be truncated.  Bytes
- * that were written before are delivered. */
+/* Ends the connection so that the response is seen to be truncated.  Earlier
+ * responses are delivered. */
 void caller_abort(Caller *c);
 /* Response bytes that were not passed to the kernel yet. */
 size_t caller_backlog(const Caller *c);
+/* Counts n bytes that the owner holds for the response of this caller among
+ * the buffered bytes of the set, until the next call or the end of the
+ * response. */
+void caller_hold(Caller *c, size_t n);
+/* True when the buffered bytes of all callers leave little room, so that the
+ * owner should hold and write less for each. */
+bool caller_memory_is_short(const Caller *c);
 
 /* Sends a plain-text response of this program, not of an upstream.  retry_us
  * above 0 adds Retry-After. */
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -33,6 +33,8 @@
                            being delivered */
     size_t undelivered; /* bytes for the caller at the last timeout check */
     size_t buffered;    /* bytes of this caller in CallerSet.buffered */
+    size_t held;        /* see caller_hold() */
+    bool own_output;    /* "out" holds bytes of the current response only */
     int requests;       /* complete requests read */
     size_t discarded;   /* see CallerLoss */
     int64_t input_us;   /* time of the last input; 0: none */
--- a/src/h1.c
+++ b/src/h1.c
@@ -107,6 +107,12 @@
     restart(h);
 }
 
+void
+h1_drop_body(H1 *h)
+{
+    empty(&h->body);
+}
+
 static Str
 trim(Str s)
 {
--- a/src/h1.h
+++ b/src/h1.h
@@ -68,6 +68,10 @@
  * H1_ERROR. */
 H1State h1_eof(H1 *h);
 
+/* Removes all bytes of the body that were decoded so far, and releases the
+ * memory of a large one. */
+void h1_drop_body(H1 *h);
+
 /* Returns the value of the first header of that name, or an empty Str. */
 Str h1_get(const H1 *h, const char *name);
 
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -16,6 +16,8 @@
 #define MISMATCHED_MAX 16 /* responses to other requests, per request */
 /* The upstream is not read while the caller's backlog exceeds this. */
 #define BACKLOG_BYTES (256 * 1024)
+/* Both limits while the buffers of all callers leave little room. */
+#define SHORT_BYTES (16 * 1024)
 /* Subtracted from the time left that the upstream is given: the response has
  * to travel back to this VM. */
 #define RETURN_MARGIN_US 5000
@@ -321,6 +323,7 @@
 on_body(Req *r, int64_t now_us)
 {
     H1 *resp = uconn_response(r->conn);
+    bool is_short = caller_memory_is_short(r->caller);
 
     if (r->state != REQ_STREAMING) {
         if (pxhead_classify(resp, r->p->o.names, r->attempt) !=
@@ -330,9 +333,11 @@
             }
             return;
         }
-        if (resp->body->len < BUFFERED_BYTES) {
+        if (resp->body->len < (is_short ? SHORT_BYTES : BUFFERED_BYTES)) {
+            caller_hold(r->caller, resp->body->len);
             return;
         }
+        caller_hold(r->caller, 0);
         observe_head(r, now_us);
         GString *head = pxhead_response(resp);
         r->state = REQ_STREAMING;
@@ -340,8 +345,9 @@
         g_string_free(head, TRUE);
     }
     caller_write(r->caller, resp->body->data, resp->body->len);
-    g_byte_array_set_size(resp->body, 0);
-    uconn_pause(r->conn, caller_backlog(r->caller) > BACKLOG_BYTES);
+    h1_drop_body(resp);
+    uconn_pause(r->conn, caller_backlog(r->caller) >
+                             (is_short ? SHORT_BYTES : BACKLOG_BYTES));
 }
 
 static void
@@ -484,6 +490,7 @@
     }
     r->timer.fn = on_timer;
     r->timer.ctx = r;
+    caller_hold(r->caller, 0);
     r->tried[r->n_tried++] = ups_ref(u);
     r->conn = uconn_open(p->o.pool, u, false, on_upstream, r);
     if (r->conn == NULL) {
--- a/src/strm.c
+++ b/src/strm.c
@@ -15,6 +15,7 @@
 #include "limits.h"
 
 #define READ_BYTES 16384
+#define KEPT_BYTES 16384 /* of an output buffer that is used again */
 /* When the backlog is full, the kernel drops the SYN of a new connection. */
 #define LISTEN_BACKLOG 1024
 
@@ -42,6 +43,20 @@
     }
 }
 
+/* Empties "out".  GLib keeps the memory of an array that is only shortened. */
+static void
+empty_output(Strm *s)
+{
+    if (s->out_peak > KEPT_BYTES) {
+        g_byte_array_unref(s->out);
+        s->out = g_byte_array_new();
+        s->out_peak = 0;
+    }
+    else {
+        g_byte_array_set_size(s->out, 0);
+    }
+}
+
 /* Handles a failed send().  It consumes the error of the socket, so that
  * recv() then reports a reset as a regular end. */
 static void
@@ -55,7 +70,7 @@
         return;
     }
     s->write_failed = true;
-    g_byte_array_set_size(s->out, 0);
+    empty_output(s);
     /* Makes the socket report an end after any error. */
     shutdown(s->ev.fd, SHUT_RDWR);
     update_events(s);
@@ -86,11 +101,14 @@
         on_write_error(s);
         return;
     }
-    g_byte_array_remove_range(s->out, 0, (guint)n);
-    if (s->out->len == 0) {
+    if ((guint)n == s->out->len) {
+        empty_output(s);
         update_events(s);
         s->fn(s->ctx, STRM_FLUSHED);
     }
+    else {
+        g_byte_array_remove_range(s->out, 0, (guint)n);
+    }
 }
 
 static void
@@ -244,6 +262,16 @@
     if (sent < n && !s->write_failed) {
         g_byte_array_append(s->out, (const guint8 *)p + sent,
                             (guint)(n - sent));
+        s->out_peak = MAX(s->out_peak, s->out->len);
+        update_events(s);
+    }
+}
+
+void
+strm_drop_output(Strm *s)
+{
+    if (s->open) {
+        empty_output(s);
         update_events(s);
     }
 }
--- a/src/strm.h
+++ b/src/strm.h
@@ -35,6 +35,8 @@
     void *ctx;
     GByteArray *in;  /* received; the owner removes bytes it has read */
     GByteArray *out; /* not yet passed to the kernel */
+    guint out_peak;  /* greatest length of "out" since its memory was released
+                      */
     uint32_t events; /* registered with epoll */
     bool open;
     bool connecting;
@@ -57,6 +59,8 @@
 /* Sends n bytes, or appends to "out" those that the kernel does not accept
  * now. */
 void strm_write(Strm *s, const void *p, size_t n);
+/* Drops the bytes that were not passed to the kernel. */
+void strm_drop_output(Strm *s);
 /* Reads what the kernel has received and delivers the event for it. */
 void strm_read_now(Strm *s);
 /* Reads and drops what the kernel has received. */
