Answer the requests behind one that is refused with 503

Cause: every rejection ended the connection and dropped its input, also where the refused request was read completely, so that those behind it can be read.

Change: such a connection ends with the refusal of the last of them.

Measured: requests_behind_a_refused_one_are_refused_too (test_caller_limits) fails before ("Connection: close" after 1 of 3 refusals) and passes, as the other test programs of connections do.

--- a/src/caller.c
+++ b/src/caller.c
@@ -205,6 +205,12 @@
     }
 }
 
+static bool
+has_input_behind(const Caller *c)
+{
+    return c->strm.in->len > 0 || strm_unread(&c->strm) > 0;
+}
+
 /* True when the connection closes after the current response.  At a planned
  * stop, a request that was sent behind the current one is answered first. */
 static bool
@@ -213,8 +219,7 @@
     const CallerSet *s = c->set;
 
     return !c->req.keep || s->last_responses ||
-           (s->shutting_down && c->strm.in->len == 0 &&
-            strm_unread(&c->strm) == 0);
+           (s->shutting_down && !has_input_behind(c));
 }
 
 /* Writes the response head, completed by the framing and connection headers,
@@ -356,11 +361,29 @@
 caller_reject(Caller *c, int status, const Err *e)
 {
     c->set->o.fns.rejected(c->set->o.ctx, status, e);
-    c->closing = true;
+    /* Requests that were sent behind one that was read completely are answered
+     * as well. */
+    if (status != 503 || c->req.state != H1_DONE || !has_input_behind(c)) {
+        c->closing = true;
+    }
     caller_respond_text(c, status, e->text,
                         status == 503 ? REJECTED_RETRY_US : 0);
 }
 
+/* Drops what arrives behind the last response. */
+static void
+on_late_input(Caller *c)
+{
+    discard_input(c);
+    if (c->idle_end) {
+        /* The request has crossed the close, whose packet may be lost, and
+         * gets no response.  The reset tells the caller at once that it can
+         * send the request again. */
+        strm_reset_at_close(&c->strm);
+        caller_close(c, c->end);
+    }
+}
+
 void
 caller_read(Caller *c)
 {
@@ -368,14 +391,7 @@
     Err e = {0};
 
     if (c->phase >= PHASE_FINISHING) {
-        discard_input(c);
-        if (c->idle_end) {
-            /* The request has crossed the close, whose packet may be lost, and
-             * gets no response.  The reset tells the caller at once that it
-             * can send the request again. */
-            strm_reset_at_close(&c->strm);
-            caller_close(c, c->end);
-        }
+        on_late_input(c);
         return;
     }
     if (c->phase == PHASE_RESPONDING) {
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -66,8 +66,9 @@
 
 /* Reads what the stream has buffered. */
 void caller_read(Caller *c);
-/* Responds to a request that was not read completely.  The rest of it is
- * discarded and the connection is closed. */
+/* Responds to a request that is not passed to the owner.  The connection is
+ * closed, and what is left of the request discarded, unless the request was
+ * read completely, is refused with 503, and others were sent behind it. */
 void caller_reject(Caller *c, int status, const Err *e);
 /* Handles the events of the stream. */
 void caller_on_stream(void *ctx, StrmEvent ev);
--- a/tests/test_caller_limits.c
+++ b/tests/test_caller_limits.c
@@ -111,6 +111,33 @@
 }
 END_TEST
 
+/* Guards against requests that end without a response: they were sent behind
+ * one that is refused, and were dropped with its connection. */
+START_TEST(requests_behind_a_refused_one_are_refused_too)
+{
+    World w;
+    int more[CALLERS_MAX];
+
+    world_init(&w, 10);
+    for (int i = 0; i < CALLERS_MAX; i++) {
+        more[i] = connect_more(&w);
+    }
+    run(&w);
+    connect_client(&w, 0);
+    for (int i = 0; i < 3; i++) {
+        send_text(&w, get_request);
+    }
+    ck_assert(receive_all(&w, READ_US));
+    ck_assert_int_eq(count_received(&w, "HTTP/1.1 503 "), 3);
+    ck_assert_int_eq(count_received(&w, "Connection: close"), 1);
+    ck_assert_int_eq(w.requests, 0);
+    for (int i = 0; i < CALLERS_MAX; i++) {
+        close(more[i]);
+    }
+    world_clear(&w);
+}
+END_TEST
+
 START_TEST(a_connection_that_waits_is_served_when_another_one_ends)
 {
     World w;
@@ -139,4 +166,5 @@
        a_head_that_trickles_is_answered_with_408,
        lower_limits_do_not_refuse_a_request_that_was_begun,
        a_request_on_a_connection_over_the_limit_is_refused_with_503,
+       requests_behind_a_refused_one_are_refused_too,
        a_connection_that_waits_is_served_when_another_one_ends)
