Let the soak read the memory of a VM only once it runs

Change: spawn() waits until the child has called execv(), by a pipe that is closed then. The check is as strict as before for every process from there on.

--- a/tests/soak_world.h
+++ b/tests/soak_world.h
@@ -182,11 +182,19 @@
     g_free(text);
 }
 
+/* Starts a process and waits until it runs the program: before execv() its
+ * memory is that of the soak, which check_memory() must not count. */
 static void
 spawn(Proc *p, const char *log, char **argv)
 {
-    pid_t pid = fork();
+    int running[2]; /* ends when execv() closes it in the child */
+    char byte;
 
+    if (pipe2(running, O_CLOEXEC) != 0) {
+        perror("pipe2");
+        exit(2);
+    }
+    pid_t pid = fork();
     if (pid == 0) {
         int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0644);
         dup2(fd, STDOUT_FILENO);
@@ -194,6 +202,10 @@
         execv(argv[0], argv);
         _exit(127);
     }
+    close(running[1]);
+    while (read(running[0], &byte, 1) < 0 && errno == EINTR) {
+    }
+    close(running[0]);
     p->pid = pid;
     p->disturbed_us = 0;
     p->has_responded = false;
