Share the steps that the tests of callers repeat

Change: world_open_set() and start_used() in caller_world.h, fill_connections() and check_reset_at_once() in the tests that use them. The checks are the same.

--- a/tests/caller_world.h
+++ b/tests/caller_world.h
@@ -19,6 +19,7 @@
 #define IDLE_US 1000000 /* limits of the set */
 #define HEAD_MAX 8192
 #define CALLERS_MAX 4
+#define BUFFERED_MAX (64 * 1024 * 1024)
 #define STALL_US 400000 /* of the loop, by on_stall() */
 
 typedef struct World {
@@ -95,12 +96,30 @@
     run_for(w, RUN_US);
 }
 
+/* Starts the set, or replaces it by one with other limits. */
+static inline void
+world_open_set(World *w, size_t max_buffered_bytes, int64_t idle_us)
+{
+    Err e = {0};
+    CallerOpts o = {
+        .loop = w->loop,
+        .listen_addr = w->at,
+        .max_callers = CALLERS_MAX,
+        .max_buffered_bytes = max_buffered_bytes,
+        .limits = {HEAD_MAX, HEAD_MAX, idle_us, idle_us},
+        .fns = {on_request, on_disconnected, NULL, on_rejected, NULL},
+        .ctx = w};
+
+    callers_free(w->set);
+    w->set = callers_new(&o, &e);
+    ck_assert_ptr_nonnull(w->set);
+}
+
 /* Starts a set whose responses have n bytes of body. */
 static inline void
 world_init(World *w, guint n)
 {
     socklen_t len = sizeof(w->at);
-    Err e = {0};
 
     memset(w, 0, sizeof(*w));
     w->client = -1;
@@ -116,16 +135,7 @@
     w->body = g_byte_array_new();
     g_byte_array_set_size(w->body, n);
     memset(w->body->data, 'x', n);
-    CallerOpts o = {
-        .loop = w->loop,
-        .listen_addr = w->at,
-        .max_callers = CALLERS_MAX,
-        .max_buffered_bytes = 64 * 1024 * 1024,
-        .limits = {HEAD_MAX, HEAD_MAX, IDLE_US, IDLE_US},
-        .fns = {on_request, on_disconnected, NULL, on_rejected, NULL},
-        .ctx = w};
-    w->set = callers_new(&o, &e);
-    ck_assert_ptr_nonnull(w->set);
+    world_open_set(w, BUFFERED_MAX, IDLE_US);
 }
 
 static inline void
@@ -161,6 +171,17 @@
                      (ssize_t)strlen(text));
 }
 
+/* Starts a set and a client whose first request has been answered. */
+static inline void
+start_used(World *w)
+{
+    world_init(w, 10);
+    connect_client(w, 0);
+    send_text(w, get_request);
+    run(w);
+    ck_assert_int_eq(w->requests, 1);
+}
+
 /* Timer functions, with the world as context. */
 static inline void
 on_send_close(void *ctx, int64_t now_us)
--- a/tests/test_caller_buffers.c
+++ b/tests/test_caller_buffers.c
@@ -5,25 +5,6 @@
 #define SMALL_BUFFERS 10000 /* less than two bodies */
 #define BODY_BYTES 6000
 
-/* Replaces the set by one whose buffers hold less. */
-static void
-limit_buffers(World *w)
-{
-    Err e = {0};
-    CallerOpts o = {
-        .loop = w->loop,
-        .listen_addr = w->at,
-        .max_callers = CALLERS_MAX,
-        .max_buffered_bytes = SMALL_BUFFERS,
-        .limits = {HEAD_MAX, HEAD_MAX, 5 * IDLE_US, 5 * IDLE_US},
-        .fns = {on_request, on_disconnected, NULL, on_rejected, NULL},
-        .ctx = w};
-
-    callers_free(w->set);
-    w->set = callers_new(&o, &e);
-    ck_assert_ptr_nonnull(w->set);
-}
-
 static void
 post(World *w, const char *header)
 {
@@ -47,7 +28,7 @@
     World w;
 
     world_init(&w, 10);
-    limit_buffers(&w);
+    world_open_set(&w, SMALL_BUFFERS, 5 * IDLE_US);
     connect_client(&w, 0);
     int first = w.client;
     post(&w, header);
--- a/tests/test_caller_ends.c
+++ b/tests/test_caller_ends.c
@@ -10,31 +10,13 @@
 #define FIRST_REQUEST_LATE_US 300000 /* more than FIRST_REQUEST_US */
 #define LOST_SLACK_US 200000         /* by which a caller has to know */
 
-/* Replaces the set by one whose idle timeout exceeds LATE_US. */
-static void
-wait_longer(World *w)
-{
-    Err e = {0};
-    CallerOpts o = {
-        .loop = w->loop,
-        .listen_addr = w->at,
-        .max_callers = CALLERS_MAX,
-        .max_buffered_bytes = 64 * 1024 * 1024,
-        .limits = {HEAD_MAX, HEAD_MAX, 5 * IDLE_US, 5 * IDLE_US},
-        .fns = {on_request, on_disconnected, NULL, on_rejected, NULL},
-        .ctx = w};
-
-    callers_free(w->set);
-    w->set = callers_new(&o, &e);
-    ck_assert_ptr_nonnull(w->set);
-}
-
 /* Sends a request that asks for a close.  The kernel holds the response. */
 static void
 start_large(World *w)
 {
     world_init(w, KERNEL_BODY_BYTES);
-    wait_longer(w);
+    /* The idle timeout exceeds LATE_US. */
+    world_open_set(w, BUFFERED_MAX, 5 * IDLE_US);
     connect_client(w, RECEIVE_BYTES);
     send_text(w, close_request);
     run(w);
@@ -66,11 +48,7 @@
 {
     World w;
 
-    world_init(&w, 10);
-    connect_client(&w, 0);
-    send_text(&w, get_request);
-    run(&w);
-    ck_assert_int_eq(w.requests, 1);
+    start_used(&w);
     send_text(&w, close_request);
     callers_close_idle(w.set);
     ck_assert(receive_all(&w, READ_US));
@@ -149,10 +127,11 @@
 END_TEST
 
 /* Sends a request on a connection whose close the client has not noticed, and
- * returns the time until the client learns that it gets no response. */
-static int64_t
-time_to_reset(World *w)
+ * checks that the client soon learns that it gets no response. */
+static void
+check_reset_at_once(World *w)
 {
+    int requests = w->requests;
     char byte;
 
     send_text(w, get_request);
@@ -163,7 +142,9 @@
         evl_run_once(w->loop, 1);
         g_usleep(1000);
     }
-    return evl_boottime() - sent_us;
+    ck_assert_int_lt(evl_boottime() - sent_us, LOST_SLACK_US);
+    ck_assert_int_eq(w->requests, requests);
+    world_clear(w);
 }
 
 /* Guards against a request that waits without a response, here for up to 1.5 s
@@ -173,15 +154,9 @@
 {
     World w;
 
-    world_init(&w, 10);
-    connect_client(&w, 0);
-    send_text(&w, get_request);
-    run(&w);
-    ck_assert_int_eq(w.requests, 1);
+    start_used(&w);
     ck_assert(receive_all(&w, READ_US));
-    ck_assert_int_lt(time_to_reset(&w), LOST_SLACK_US);
-    ck_assert_int_eq(w.requests, 1);
-    world_clear(&w);
+    check_reset_at_once(&w);
 }
 END_TEST
 
@@ -195,9 +170,7 @@
     connect_client(&w, 0);
     run_for(&w, FIRST_REQUEST_LATE_US);
     callers_close_idle(w.set);
-    ck_assert_int_lt(time_to_reset(&w), LOST_SLACK_US);
-    ck_assert_int_eq(w.requests, 0);
-    world_clear(&w);
+    check_reset_at_once(&w);
 }
 END_TEST
 
@@ -207,17 +180,12 @@
 {
     World w;
 
-    world_init(&w, 10);
-    connect_client(&w, 0);
-    send_text(&w, get_request);
-    run(&w);
+    start_used(&w);
     callers_close_idle(w.set);
     ck_assert_int_eq(callers_open(w.set), 1);
     ck_assert(receive_all(&w, READ_US));
     ck_assert_int_eq(count_received(&w, "HTTP/1.1 200 "), 1);
-    ck_assert_int_lt(time_to_reset(&w), LOST_SLACK_US);
-    ck_assert_int_eq(w.requests, 1);
-    world_clear(&w);
+    check_reset_at_once(&w);
 }
 END_TEST
 
--- a/tests/test_caller_limits.c
+++ b/tests/test_caller_limits.c
@@ -78,14 +78,25 @@
 }
 END_TEST
 
-/* Connects a further client of the set. */
-static int
-connect_more(World *w)
+/* Connects n further clients, so that the next connection is over a limit. */
+static void
+fill_connections(World *w, int *fds, int n)
 {
-    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    for (int i = 0; i < n; i++) {
+        fds[i] = socket(AF_INET, SOCK_STREAM, 0);
+        ck_assert_int_eq(
+            connect(fds[i], (struct sockaddr *)&w->at, sizeof(w->at)), 0);
+    }
+    run(w);
+    connect_client(w, 0);
+}
 
-    ck_assert_int_eq(connect(fd, (struct sockaddr *)&w->at, sizeof(w->at)), 0);
-    return fd;
+static void
+close_all(const int *fds, int n)
+{
+    for (int i = 0; i < n; i++) {
+        close(fds[i]);
+    }
 }
 
 START_TEST(a_request_on_a_connection_over_the_limit_is_refused_with_503)
@@ -94,19 +105,13 @@
     int more[CALLERS_MAX];
 
     world_init(&w, 10);
-    for (int i = 0; i < CALLERS_MAX; i++) {
-        more[i] = connect_more(&w);
-    }
-    run(&w);
-    connect_client(&w, 0);
+    fill_connections(&w, more, CALLERS_MAX);
     send_text(&w, get_request);
     ck_assert(receive_all(&w, READ_US));
     ck_assert_int_eq(count_received(&w, "HTTP/1.1 503 "), 1);
     ck_assert_int_eq(count_received(&w, "Retry-After: "), 1);
     ck_assert_int_eq(w.requests, 0);
-    for (int i = 0; i < CALLERS_MAX; i++) {
-        close(more[i]);
-    }
+    close_all(more, CALLERS_MAX);
     world_clear(&w);
 }
 END_TEST
@@ -119,11 +124,7 @@
     int more[CALLERS_MAX];
 
     world_init(&w, 10);
-    for (int i = 0; i < CALLERS_MAX; i++) {
-        more[i] = connect_more(&w);
-    }
-    run(&w);
-    connect_client(&w, 0);
+    fill_connections(&w, more, CALLERS_MAX);
     for (int i = 0; i < 3; i++) {
         send_text(&w, get_request);
     }
@@ -131,9 +132,7 @@
     ck_assert_int_eq(count_received(&w, "HTTP/1.1 503 "), 3);
     ck_assert_int_eq(count_received(&w, "Connection: close"), 1);
     ck_assert_int_eq(w.requests, 0);
-    for (int i = 0; i < CALLERS_MAX; i++) {
-        close(more[i]);
-    }
+    close_all(more, CALLERS_MAX);
     world_clear(&w);
 }
 END_TEST
@@ -144,17 +143,11 @@
     int more[CALLERS_MAX + 1];
 
     world_init(&w, 10);
-    for (int i = 0; i <= CALLERS_MAX; i++) {
-        more[i] = connect_more(&w);
-    }
-    run(&w);
-    connect_client(&w, 0);
+    fill_connections(&w, more, CALLERS_MAX + 1);
     send_text(&w, close_request);
     run(&w);
     ck_assert_int_eq(callers_open(w.set), CALLERS_MAX + 1);
-    for (int i = 0; i <= CALLERS_MAX; i++) {
-        close(more[i]);
-    }
+    close_all(more, CALLERS_MAX + 1);
     ck_assert(receive_all(&w, READ_US));
     ck_assert_int_eq(count_received(&w, "HTTP/1.1 200 "), 1);
     world_clear(&w);
