--- a/src/control_zones.c
+++ b/src/control_zones.c
@@ -235,10 +235,7 @@
 void
 zones_clear_message(ms_zone *z)
 {
-    for (u_int i = 0; i < z->loads.loads_len; i++) {
-        g_free(z->loads.loads_val[i].demand.demand_val);
-    }
-    g_free(z->loads.loads_val);
+    ctlmsg_free_loads(z->loads.loads_val, z->loads.loads_len);
     g_free(z->vms.vms_val);
 }
 
--- a/src/ctlmsg.c
+++ b/src/ctlmsg.c
@@ -127,12 +127,18 @@
 }
 
 void
-ctlmsg_clear_report(ms_report *r)
+ctlmsg_free_loads(ms_load *loads, u_int n)
 {
-    for (u_int i = 0; i < r->loads.loads_len; i++) {
-        g_free(r->loads.loads_val[i].demand.demand_val);
+    for (u_int i = 0; i < n; i++) {
+        g_free(loads[i].demand.demand_val);
     }
-    g_free(r->loads.loads_val);
+    g_free(loads);
+}
+
+void
+ctlmsg_clear_report(ms_report *r)
+{
+    ctlmsg_free_loads(r->loads.loads_val, r->loads.loads_len);
     g_free(r->zone_bad.zone_bad_val);
     memset(r, 0, sizeof(*r));
 }
--- a/src/ctlmsg.h
+++ b/src/ctlmsg.h
@@ -24,6 +24,8 @@
 void ctlmsg_put_report(ms_report *out, const char *program,
                        const SnapReport *r, int n_zones);
 void ctlmsg_clear_report(ms_report *r);
+/* Releases an array of loads with what they hold. */
+void ctlmsg_free_loads(ms_load *loads, u_int n);
 
 /* Fills a message; its list demand is allocated, to be freed by g_free(). */
 void ctlmsg_put_load(ms_load *out, const SnapLoad *l, int n_zones);
