Share the start of two upstreams and the adoption of a roster in tests

Cause: four cases of test_entry_fleet start the same two upstreams, and three of test_own adopt and confirm a roster, each in words of its own.

Change: start_with_upstreams() and adopt(); no check is changed.

--- a/tests/test_entry_fleet.c
+++ b/tests/test_entry_fleet.c
@@ -62,18 +62,25 @@
     return buf;
 }
 
+/* Starts the VMs, and two upstreams that answer like this. */
+static void
+start_with_upstreams(Rig *g, const char *(*answer)(int, int, const char *))
+{
+    for (int i = 0; i < 2; i++) {
+        UpPlan p = {.port = UP(i), .answer = answer};
+        rig_upstream(&p);
+    }
+    rig_start(g);
+}
+
 /* Guards against work that only the owner may run: VM 0 owns the targets and
  * key ranges of z1, VM 1 none, and VM 2 is in another zone. */
 START_TEST(forwards_to_owner_zone_and_key)
 {
     Rig g = rig_vms_of(1, 3);
-    UpPlan p = {.port = UP(0), .answer = answer_echo};
-    UpPlan q = {.port = UP(1), .answer = answer_echo};
     GString *a;
 
-    rig_upstream(&p);
-    rig_upstream(&q);
-    rig_start(&g);
+    start_with_upstreams(&g, answer_echo);
     for (int vm = 0; vm < 3; vm++) {
         char path[32];
         char want[32];
@@ -102,13 +109,9 @@
 START_TEST(crashing_request_is_convicted)
 {
     Rig g = rig_vms_of(2, 2);
-    UpPlan p = {.port = UP(0), .answer = answer_echo};
-    UpPlan q = {.port = UP(1), .answer = answer_echo};
     GString *a;
 
-    rig_upstream(&p);
-    rig_upstream(&q);
-    rig_start(&g);
+    start_with_upstreams(&g, answer_echo);
     for (int i = 0; i < 20; i++) {
         a = rig_ask(VM(0), "GET", "/v1/run/desk/ok", "", "");
         ck_assert_int_eq(rig_status(a), 200);
@@ -159,12 +162,8 @@
 START_TEST(long_bodies_stream_whole)
 {
     Rig g = rig_vms_of(3, 1);
-    UpPlan p = {.port = UP(0), .answer = answer_long};
-    UpPlan q = {.port = UP(1), .answer = answer_long};
 
-    rig_upstream(&p);
-    rig_upstream(&q);
-    rig_start(&g);
+    start_with_upstreams(&g, answer_long);
     char *body = g_strnfill(LONG_BYTES, 'b');
     for (int i = 0; i < 3; i++) {
         GString *a = rig_ask(VM(0), "POST", "/v1/run/desk/x", "", body);
@@ -212,16 +211,12 @@
 START_TEST(hostile_callers_are_bounded)
 {
     Rig g = rig_vms_of(4, 1);
-    UpPlan p = {.port = UP(0), .answer = answer_echo};
-    UpPlan q = {.port = UP(1), .answer = answer_echo};
     int fd[SLOW_CALLERS];
     const char *slow = "GET /v1/run/desk/x HTTP/1.1\r\nHost: x\r\nX-Slow: ";
     const char *huge = "POST /v1/run/desk/x HTTP/1.1\r\nHost: x\r\n"
                        "Content-Length: 99999999999\r\n\r\n";
 
-    rig_upstream(&p);
-    rig_upstream(&q);
-    rig_start(&g);
+    start_with_upstreams(&g, answer_echo);
     GString *a = rig_ask(VM(0), "GET", "/v1/run/desk/x", "", "");
     int64_t before = resident_kb(g.pid[0]);
     for (int i = 0; i < SLOW_CALLERS; i++) {
--- a/tests/test_own.c
+++ b/tests/test_own.c
@@ -51,6 +51,14 @@
     own_confirm_store(o, own_roster(o)->store_version, now);
 }
 
+/* Adopts a roster and confirms it. */
+static void
+adopt(Own *o, const OwnRoster *r, int64_t now)
+{
+    own_adopt(o, r, now);
+    confirm(o, now);
+}
+
 /* A target name that the member of that index owns under both rosters. */
 static const char *
 target_of(const OwnRoster *r, int owner, const OwnRoster *r2, int owner2)
@@ -180,8 +188,7 @@
     int64_t now = run(a, 0, 2000 * MS, true);
 
     ck_assert_int_eq(own_budget(a, t, SLOTS, now), SLOTS);
-    own_adopt(a, &r3, now);
-    confirm(a, now);
+    adopt(a, &r3, now);
     ck_assert_int_eq(own_budget(a, t, SLOTS, now), 0);
     now = run(a, now, now + 1100 * MS, true);
     ck_assert_int_eq(own_budget(a, t, SLOTS, now), SLOTS);
@@ -201,12 +208,10 @@
     const char *t = target_of(&r1, 0, &r2, 2);
     int64_t now = run(a, 0, 2000 * MS, true);
 
-    own_adopt(a, &r2, now);
-    confirm(a, now);
+    adopt(a, &r2, now);
     ck_assert_int_eq(own_budget(a, t, SLOTS, now), 0);
     now += 300 * MS;
-    own_adopt(a, &r3, now);
-    confirm(a, now);
+    adopt(a, &r3, now);
     ck_assert_int_eq(own_budget(a, t, SLOTS, now), 0);
     now = run(a, now, now + 1100 * MS, true);
     ck_assert_int_eq(own_budget(a, t, SLOTS, now), SLOTS);
