Take a free port for tests in one place

Cause: caller_world.h and test_httpsrv.c had the same lines for it.

Measured: test_httpsrv and the twelve test programs of connections pass.

--- a/tests/caller_world.h
+++ b/tests/caller_world.h
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "caller.h"
+#include "free_port.h"
 
 #define RECEIVE_BYTES 4096 /* receive buffer of a client that reads late */
 #define RUN_US 200000
@@ -119,17 +120,9 @@
 static inline void
 world_init(World *w, guint n)
 {
-    socklen_t len = sizeof(w->at);
-
     memset(w, 0, sizeof(*w));
     w->client = -1;
-    w->at = (struct sockaddr_in){.sin_family = AF_INET,
-                                 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    /* The port is taken from a socket that is closed at once. */
-    int probe = socket(AF_INET, SOCK_STREAM, 0);
-    ck_assert_int_eq(bind(probe, (struct sockaddr *)&w->at, len), 0);
-    getsockname(probe, (struct sockaddr *)&w->at, &len);
-    close(probe);
+    w->at = free_loopback_address();
     w->loop = evl_new();
     w->received = g_string_new(NULL);
     w->body = g_byte_array_new();
--- a/tests/test_httpsrv.c
+++ b/tests/test_httpsrv.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "free_port.h"
 #include "httpsrv.h"
 
 #define IDLE_MS 200
@@ -71,18 +72,11 @@
 static void
 world_init(World *w)
 {
-    socklen_t len = sizeof(w->at);
     char address[32];
     Err e = {0};
 
     memset(w, 0, sizeof(*w));
-    w->at = (struct sockaddr_in){.sin_family = AF_INET,
-                                 .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    /* The port is taken from a socket that is closed at once. */
-    int probe = socket(AF_INET, SOCK_STREAM, 0);
-    ck_assert_int_eq(bind(probe, (struct sockaddr *)&w->at, len), 0);
-    getsockname(probe, (struct sockaddr *)&w->at, &len);
-    close(probe);
+    w->at = free_loopback_address();
     g_snprintf(address, sizeof(address), "127.0.0.1:%d",
                ntohs(w->at.sin_port));
     w->context = g_main_context_new();
