--- a/tests/copies_world.h
+++ b/tests/copies_world.h
@@ -36,7 +36,7 @@
 } Change;
 
 typedef struct Record {
-    uint64_t put_rev; /* highest revision of a value */
+    uint64_t put_rev; /* revision of the last value */
     bool removed;
 } Record;
 
