Record the age of the store's copy at each attempt, and lost gossip

Change: the time up to which a VM knows all changes is passed to the request path; request lines and a histogram show its age when an attempt begins. Histograms show the delays of events and timers; counters and lines show gossip that is missing, incomplete or not accepted by the kernel, and changes that take over 20 ms to apply.

--- a/src/edge.c
+++ b/src/edge.c
@@ -35,7 +35,8 @@
  * this number of changes, one after the other, reaches all VMs: the loss of
  * its entry, and the entry that it writes again. */
 #define SHARE_HOLD_CHANGES 2
-#define SHIFT_WINDOW_S 2.0 /* the window of max_shift */
+#define SLOW_CHANGE_US 20000 /* a change that takes longer is logged */
+#define SHIFT_WINDOW_S 2.0   /* the window of max_shift */
 /* Parts of max_shift: for the movement of shares within a window, and for the
  * share of requests that overflows.  An overflow may begin and end within a
  * window, so its whole share counts.  The rest allows for random variation of
@@ -129,7 +130,17 @@
 on_item(void *ctx, const char *key, GBytes *value, uint64_t rev,
         int64_t now_us)
 {
-    view_apply(((Edge *)ctx)->view, key, value, rev, now_us);
+    Edge *g = ctx;
+    int64_t begin_us = evl_boottime();
+
+    view_apply(g->view, key, value, rev, now_us);
+    int64_t took_us = evl_boottime() - begin_us;
+    if (took_us > SLOW_CHANGE_US) {
+        dlog_event(
+            g->log, DLOG_INFO, "store",
+            "event=slow_change rev=%" PRIu64 " bytes=%zu took_ms=%" PRId64,
+            rev, value == NULL ? 0 : g_bytes_get_size(value), took_us / 1000);
+    }
 }
 
 static void
@@ -175,6 +186,12 @@
     crash_receive(((Edge *)ctx)->crashes, m, now_us);
 }
 
+static void
+on_confirmed(void *ctx, int64_t at_us)
+{
+    px_set_confirmed(((Edge *)ctx)->px, at_us);
+}
+
 static void
 on_view_current(void *ctx, int64_t now_us)
 {
@@ -418,6 +435,7 @@
                 .current = on_view_current,
                 .behind = on_view_behind,
                 .failed = on_store_failure,
+                .confirmed = on_confirmed,
                 .announce = on_announce},
         .ctx = g,
     };
--- a/src/evl.c
+++ b/src/evl.c
@@ -14,6 +14,8 @@
  * most CATCH_UP_US, so that a peer that was in time does not count as late. */
 #define LATE_US 50000
 #define CATCH_UP_US 100000
+/* A wait that is shorter found events that were pending before. */
+#define WAITED_US 1000
 
 typedef struct Deferred {
     GDestroyNotify fn;
@@ -30,6 +32,8 @@
     int64_t since_us;     /* value of evl_since() */
     int64_t delivered_us; /* by then the last wait that returned all pending
                              events had not ended */
+    Hist event_delays;
+    Hist timer_delays;
     uint32_t generation;
     GPtrArray *fds;    /* EvlFd by descriptor */
     GPtrArray *timers; /* binary heap by at_us; entry 0 is unused */
@@ -63,6 +67,18 @@
     return l->since_us;
 }
 
+const Hist *
+evl_event_delays(const Evl *l)
+{
+    return &l->event_delays;
+}
+
+const Hist *
+evl_timer_delays(const Evl *l)
+{
+    return &l->timer_delays;
+}
+
 static EvlTimer *
 timer_at(const Evl *l, guint i)
 {
@@ -240,6 +256,8 @@
          * and the clock. */
         l->delivered_us = start_us + (n == 0 ? (int64_t)wait_ms * 1000 : 0);
     }
+    int64_t pending_us =
+        l->now_us - start_us > WAITED_US ? l->now_us : l->since_us;
     detect_stall(l, wait_ms);
     bool late =
         l->timers->len > 1 && l->now_us - timer_at(l, 1)->at_us > LATE_US;
@@ -247,9 +265,13 @@
     if (late) {
         catch_up(l);
     }
+    if (n > 0) {
+        hist_add(&l->event_delays, evl_boottime() - pending_us);
+    }
     while (l->timers->len > 1 && timer_at(l, 1)->at_us <= l->now_us) {
         EvlTimer *t = timer_at(l, 1);
         evl_disarm(l, t);
+        hist_add(&l->timer_delays, l->now_us - t->at_us);
         t->fn(t->ctx, l->now_us);
     }
     run_deferred(l);
--- a/src/evl.h
+++ b/src/evl.h
@@ -14,6 +14,8 @@
 
 #include <glib.h>
 
+#include "hist.h"
+
 typedef struct Evl Evl;
 
 /* events: EPOLLIN, EPOLLOUT, EPOLLRDHUP, EPOLLERR, EPOLLHUP. */
@@ -73,6 +75,12 @@
  * have occurred after it; how long after, is not known. */
 int64_t evl_since(const Evl *l);
 
+/* Delays of the callbacks.  Events: for each iteration, the longest time from
+ * the end of the wait, or from evl_since() if the loop did not wait, to the
+ * end of the callbacks.  Timers: the time since the expiry. */
+const Hist *evl_event_delays(const Evl *l);
+const Hist *evl_timer_delays(const Evl *l);
+
 /* Monotonic time in microseconds that includes time in suspend. */
 int64_t evl_boottime(void);
 
--- a/src/gossipfrag.c
+++ b/src/gossipfrag.c
@@ -31,6 +31,7 @@
 struct GossipFrag {
     Message messages[MESSAGES_MAX];
     uint32_t sequence;
+    int64_t incomplete;
 };
 
 static bool
@@ -110,6 +111,18 @@
     g_free(s);
 }
 
+static uint64_t
+all_fragments(u_int count)
+{
+    return count == GOSSIPFRAG_MAX ? UINT64_MAX : (UINT64_C(1) << count) - 1;
+}
+
+int64_t
+gossipfrag_incomplete(const GossipFrag *s)
+{
+    return s->incomplete;
+}
+
 static bool
 same_message(const Head *a, const Head *b)
 {
@@ -132,6 +145,10 @@
             oldest = c;
         }
     }
+    if (oldest->data != NULL &&
+        oldest->have != all_fragments(oldest->head.count)) {
+        s->incomplete++;
+    }
     g_free(oldest->data);
     *oldest = (Message){.head = *h, .data = g_malloc(h->bytes)};
     return oldest;
@@ -176,7 +193,7 @@
     Message *c = find_message(s, &h);
     c->used = ++s->sequence;
     memcpy(c->data + h.index * FRAG_BYTES, p + HEAD_SIZE, n - HEAD_SIZE);
-    uint64_t all = h.count == 64 ? UINT64_MAX : (UINT64_C(1) << h.count) - 1;
+    uint64_t all = all_fragments(h.count);
     if ((c->have & all) == all) {
         return GOSSIPFRAG_MORE;
     }
--- a/src/gossipfrag.h
+++ b/src/gossipfrag.h
@@ -35,6 +35,9 @@
 GossipFrag *gossipfrag_new(void);
 void gossipfrag_free(GossipFrag *s);
 
+/* Number of messages that were given up before they were complete. */
+int64_t gossipfrag_incomplete(const GossipFrag *s);
+
 typedef enum GossipFragResult {
     GOSSIPFRAG_MORE,     /* fragments are missing, or the message was complete
                             before this one */
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -63,6 +63,7 @@
     bool ready;
     int64_t calls;
     int64_t deferred;
+    int64_t missing;
     Registration *registration;
 };
 
@@ -175,6 +176,21 @@
     }
 }
 
+/* Records that all changes before at_us are known. */
+static void
+set_confirmed(Feed *f, int64_t at_us)
+{
+    Mirror *m = f->m;
+
+    f->confirmed_us = at_us;
+    for (int i = 0; i < m->n_feeds; i++) {
+        at_us = MIN(at_us, m->feeds[i].confirmed_us);
+    }
+    if (m->o.fns.confirmed != NULL) {
+        m->o.fns.confirmed(m->o.ctx, at_us);
+    }
+}
+
 /* Records that the copy is as recent as the store's own answers. */
 static void
 mark_current(Feed *f, int64_t now_us)
@@ -203,7 +219,7 @@
         kvcache_drop_missing(f->cache, kvcache_rev(f->cache), 2, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
     f->listing = false;
-    f->confirmed_us = evl_boottime();
+    set_confirmed(f, evl_boottime());
     mark_current(f, now_us);
     if (f->relist) {
         feed_schedule(f, RELIST_US);
@@ -326,7 +342,7 @@
         break;
     case GOSSIP_NEXT:
         kvcache_apply_events(f->cache, &w->page, NULL, now_us);
-        f->confirmed_us = evl_boottime();
+        set_confirmed(f, evl_boottime());
         /* A VM whose calls the store refuses stays current by gossip. */
         if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed) {
             m->deferred++;
@@ -334,8 +350,15 @@
         }
         break;
     case GOSSIP_MISSING:
+        m->missing++;
         if (f->pausing && !f->missed) {
             f->missed = true;
+            dlog_event(m->o.log, DLOG_INFO, "store",
+                       "event=gossip_missing prefix=%s rev=%" G_GUINT64_FORMAT
+                       " from=%" G_GUINT64_FORMAT " to=%" G_GUINT64_FORMAT
+                       " copy_age_ms=%" G_GINT64_FORMAT,
+                       f->prefix, kvcache_rev(f->cache), w->from, w->page.rev,
+                       (evl_boottime() - f->confirmed_us) / 1000);
             evl_arm(m->o.loop, &f->timer,
                     now_us + g_rand_int_range(m->o.rnd, 0, MISSING_WATCH_US));
         }
@@ -443,7 +466,7 @@
         feed_watch(f);
         return;
     }
-    f->confirmed_us = f->watch_start_us;
+    set_confirmed(f, f->watch_start_us);
     mark_current(f, now_us);
     feed_pause(f, f->missed, now_us);
     f->missed = false;
@@ -569,7 +592,8 @@
 mirror_counts(const Mirror *m)
 {
     MirrorCounts c = {.calls = m->calls + registration_calls(m->registration),
-                      .watches_deferred = m->deferred};
+                      .watches_deferred = m->deferred,
+                      .gossip_missing = m->missing};
 
     for (int i = 0; i < m->n_feeds; i++) {
         c.calls += resync_calls(m->feeds[i].resync);
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -37,6 +37,8 @@
     void (*behind)(void *ctx, int64_t now_us);
     /* A call failed; the copy may be out of date. */
     void (*failed)(void *ctx, int64_t now_us);
+    /* All changes before at_us (boot time) are known.  May be NULL. */
+    void (*confirmed)(void *ctx, int64_t at_us);
     /* Changes to send to nearby VMs; valid during the call only. */
     void (*announce)(void *ctx, const GossipOut *o);
 } MirrorFns;
@@ -78,6 +80,7 @@
 typedef struct MirrorCounts {
     int64_t calls;            /* to the store */
     int64_t watches_deferred; /* because of gossip from another VM */
+    int64_t gossip_missing;   /* messages after which revisions are missing */
     int64_t items_dropped;    /* of lists and watches, as unreadable */
 } MirrorCounts;
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -21,6 +21,7 @@
     void *ctx;
     GossipFrag *fragments;
     int64_t unreadable;
+    int64_t unsent;
 };
 
 static bool_t
@@ -268,8 +269,22 @@
 peer_send(Peer *p, const struct sockaddr_in *to, const char *data, size_t n)
 {
     /* A datagram that cannot be sent at once counts as lost. */
-    (void)sendto(p->ev.fd, data, n, MSG_DONTWAIT | MSG_NOSIGNAL,
-                 (const struct sockaddr *)to, sizeof(*to));
+    if (sendto(p->ev.fd, data, n, MSG_DONTWAIT | MSG_NOSIGNAL,
+               (const struct sockaddr *)to, sizeof(*to)) < 0) {
+        p->unsent++;
+    }
+}
+
+int64_t
+peer_unsent(const Peer *p)
+{
+    return p->unsent;
+}
+
+int64_t
+peer_incomplete(const Peer *p)
+{
+    return gossipfrag_incomplete(p->fragments);
 }
 
 int64_t
--- a/src/peer.h
+++ b/src/peer.h
@@ -78,5 +78,9 @@
 
 /* Number of datagrams received that could not be decoded. */
 int64_t peer_unreadable(const Peer *p);
+/* Number of datagrams that the kernel did not accept. */
+int64_t peer_unsent(const Peer *p);
+/* Number of gossip messages of which fragments are missing for good. */
+int64_t peer_incomplete(const Peer *p);
 
 #endif
--- a/src/px.c
+++ b/src/px.c
@@ -301,6 +301,12 @@
     p->view_complete = true;
 }
 
+void
+px_set_confirmed(Px *p, int64_t at_us)
+{
+    p->confirmed_us = at_us;
+}
+
 void
 px_wait_for_view(Px *p, int64_t until_us)
 {
@@ -339,4 +345,5 @@
                            uconns_reused(p->o.pool), dlog_dropped(p->o.log));
     hist_text(&p->caller_time, "edge_answer_ms", "part=\"caller\"", out);
     hist_text(&p->upstream_time, "edge_answer_ms", "part=\"upstream\"", out);
+    hist_text(&p->copy_age, "edge_copy_age_ms", "part=\"attempt\"", out);
 }
--- a/src/px.h
+++ b/src/px.h
@@ -56,6 +56,9 @@
 /* Longest round-trip time to another region; 0: not known. */
 void px_set_max_rtt(Px *p, int64_t max_rtt_us);
 
+/* This VM knows all changes of the store before at_us. */
+void px_set_confirmed(Px *p, int64_t at_us);
+
 /* Queues all requests until until_us, since the view of the store may be out
  * of date; 0: dispatches them again. */
 void px_wait_for_view(Px *p, int64_t until_us);
--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -20,7 +20,8 @@
                " upstream=%s pick=%s attempts=%d ran=%d "
                "load=%.1f slots=%d load_age_ms=%" PRId64 " took_ms=%" PRId64
                " left_ms=%" PRId64 " target_ms=%" PRId64 " sent_ms=%" PRId64
-               " usual_ms=%d away=%d new_conn=%d requests=%d",
+               " usual_ms=%d away=%d new_conn=%d copy_age_ms=%" PRId64
+               " requests=%d",
                dlog_name(r->attempt).s, outcome, status,
                dlog_name(str_of(r->route->name)).s, rt_version(r->table),
                dlog_name(str_of(r->service->name)).s, r->route->rank,
@@ -33,7 +34,7 @@
                u == NULL ? 0 : (r->sent_us - r->begin_us) / 1000,
                (int)(r->demand->work_s * 1e3),
                u != NULL && u->region != p->o.region ? 1 : 0,
-               r->new_conn ? 1 : 0, lines);
+               r->new_conn ? 1 : 0, r->copy_age_us / 1000, lines);
 }
 
 static void
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -31,7 +31,8 @@
     int64_t last_us; /* last time for a response: end_us, or later by a grace
                         when the timeout of the route comes first */
     int64_t sent_us; /* start of the current attempt at an upstream */
-    Ups *u;          /* upstream of the running attempt, or NULL */
+    int64_t copy_age_us; /* age of the copy of the store at that time */
+    Ups *u;              /* upstream of the running attempt, or NULL */
     Uconn *conn;
     bool may_run;  /* the current upstream may run the request */
     bool new_conn; /* the last attempt waited for a new connection */
@@ -71,6 +72,7 @@
     bool view_complete;   /* see px_view_complete() */
     int64_t view_wait_us; /* see px_wait_for_view() */
     int64_t resumed_us;   /* see px_resumed() */
+    int64_t confirmed_us; /* see px_set_confirmed() */
     GateStop stop;
     GQueue queue;
     EvlTimer queue_timer;
@@ -80,6 +82,7 @@
     int64_t lossy_ends;      /* callers closed while bytes could be lost */
     Hist caller_time;
     Hist upstream_time;
+    Hist copy_age; /* time since confirmed_us at the start of an attempt */
 };
 
 /* Logs how the request ended. */
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -501,6 +501,8 @@
     r->state = REQ_SENT;
     r->may_run = true;
     r->sent_us = now_us;
+    r->copy_age_us = now_us - p->confirmed_us;
+    hist_add(&p->copy_age, r->copy_age_us);
     r->new_conn = !uconn_connected(r->conn);
     u->inflight++;
     u->used = true;
