--- /dev/null
+++ b/standins/peer.c
@@ -0,0 +1,102 @@
+/*
+ * standin-peer - test stand-in for another entry VM: sends one gossip message,
+ * or prints those that it receives.
+ *
+ *   standin-peer --to IP:PORT REV AGE_MS
+ *       says that nothing has changed in the store since revision REV, by an
+ *       answer of the store that is so old
+ *   standin-peer --listen IP:PORT
+ *       prints "from=REV to=REV fragments=0|1 keys=KEY,..." for each message,
+ *       until it is ended
+ */
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "gossip.h"
+#include "gossipfrag.h"
+#include "strm.h"
+
+#define AGE_MS_MAX 60000
+
+static int
+send_unchanged(int fd, const struct sockaddr_in *to, uint64_t rev,
+               uint64_t age_ms)
+{
+    (void)age_ms; /* messages do not carry it */
+    GossipOut o = {.from = rev, .to = rev};
+    char buf[GOSSIP_BYTES_MAX];
+    size_t n = gossip_encode(&o, buf, sizeof(buf));
+
+    return sendto(fd, buf, n, 0, (const struct sockaddr *)to, sizeof(*to)) < 0
+               ? 1
+               : 0;
+}
+
+static void
+print_message(Gossip *w, bool fragments)
+{
+    printf("from=%" PRIu64 " to=%" PRIu64 " fragments=%d keys=", w->from,
+           w->page.rev, fragments ? 1 : 0);
+    for (guint i = 0; i < w->page.items->len; i++) {
+        printf("%s,", g_array_index(w->page.items, KvItem, i).key);
+    }
+    printf("\n");
+    fflush(stdout);
+    kv_page_clear(&w->page);
+}
+
+static void
+print_received(int fd)
+{
+    GossipFrag *fragments = gossipfrag_new();
+    char buf[GOSSIP_BYTES_MAX];
+    ssize_t n;
+
+    while ((n = recv(fd, buf, sizeof(buf), 0)) >= 0) {
+        Gossip w;
+        if (gossipfrag_is(buf, (size_t)n)) {
+            if (gossipfrag_add(fragments, buf, (size_t)n, &w) ==
+                GOSSIPFRAG_COMPLETE) {
+                print_message(&w, true);
+            }
+        }
+        else if (gossip_is(buf, (size_t)n) &&
+                 gossip_decode(&w, buf, (size_t)n, NULL)) {
+            print_message(&w, false);
+        }
+    }
+    gossipfrag_free(fragments);
+}
+
+int
+main(int argc, char **argv)
+{
+    struct sockaddr_in at;
+    uint64_t rev = 0;
+    uint64_t age_ms = 0;
+    bool sends = argc == 5 && strcmp(argv[1], "--to") == 0 &&
+                 str_u64(str_of(argv[3]), UINT64_MAX, &rev) &&
+                 str_u64(str_of(argv[4]), AGE_MS_MAX, &age_ms);
+    bool listens = argc == 3 && strcmp(argv[1], "--listen") == 0;
+
+    if ((!sends && !listens) || !strm_parse_addr(str_of(argv[2]), &at)) {
+        fputs("usage: standin-peer --to IP:PORT REV AGE_MS | --listen "
+              "IP:PORT\n",
+              stderr);
+        return 2;
+    }
+    int fd = socket(AF_INET, SOCK_DGRAM, 0);
+    if (sends) {
+        return send_unchanged(fd, &at, rev, age_ms);
+    }
+    if (bind(fd, (const struct sockaddr *)&at, sizeof(at)) != 0) {
+        perror("standin-peer: bind");
+        return 4;
+    }
+    print_received(fd);
+    return 0;
+}
--- /dev/null
+++ b/tests/platform_large_gossip.sh
@@ -0,0 +1,38 @@
+#!/bin/sh
+# A target that leaves while a large configuration is stored.
+# usage: platform_large_gossip.sh BUILD_DIR
+set -u
+b=$1
+PORT=${PORT:-23300}
+. tests/lib/platform_lib.sh
+. tests/lib/drain_lib.sh
+
+# routes N: routes behind a comma, as config expects them.
+routes() {
+    seq "$1" | sed "s|.*|,{\"Name\":\"r-&-$2\",\"PathPrefix\":\"/more/$2/&/\",\"Kind\":\"idempotent\",\"Timeout\":\"1500ms\",\"Slo\":\"400ms\",\"Priority\":1,\"MaxAttempts\":2,\"HomeRegions\":[],\"Service\":\"desk\"}|" |
+        tr -d '\n'
+}
+
+start_one_vm
+"$b/standin-peer" --listen "127.0.0.1:$((port + 304))" >"$dir/peer" &
+pids="$pids $!"
+control "/test/key?vm/vm-3" "entry=127.0.0.1:$((port + 301)) peer=127.0.0.1:$((port + 304)) zone=west-a leaving=0 boot=1"
+sleep 1
+for i in 1 2 3 4 5 6; do
+    config $((3 + i)) "$(routes 700 $i)"
+    report u-2 draining
+    sleep 0.4
+    report u-2 ready
+    sleep 0.4
+done
+sleep 1
+
+# Guards against the news of a target that is lost with one of the fragments in
+# which a configuration is sent.
+together=$(grep -c 'fragments=1 .*servers/u-2' "$dir/peer")
+[ "$(grep -c 'fragments=1 .*op/config' "$dir/peer")" -gt 0 ] ||
+    check large_messages 0 "over 0"
+check news_in_fragments_only "$together" 0
+[ "$(grep -c 'fragments=0 .*servers/u-2' "$dir/peer")" -gt 3 ] ||
+    check news "$(grep -c 'fragments=0 .*servers/u-2' "$dir/peer")" "over 3"
+finish
