Do not send requests on whose callers have left

Cause: strm read a request and its owner dispatched it, while the end of the connection waited behind it in the socket and was seen in the next iteration of the loop. A VM that was late by half a second passed on each request whose caller had given up meanwhile, as far as it had idle connections. Events were delivered in the order of epoll_wait(), 128 at a time, so that requests also came before ends of connections, answers of the store and gossip that had arrived earlier. Change: strm keeps from the events of epoll whether the peer has closed, and asks the kernel again in an iteration that has taken over 20 ms; px does not dispatch the request of a caller that has left. The loop takes up to 1,024 events in a wait, and delivers ends of connections, the store's answers and datagrams of other VMs before the others. Why it works: a close that has reached the socket before the request is dispatched is known then, however late the VM is.

--- a/src/caller.c
+++ b/src/caller.c
@@ -122,6 +122,12 @@
     return s->buffered <= s->o.max_buffered_bytes;
 }
 
+bool
+caller_has_left(const Caller *c)
+{
+    return c->closed || strm_peer_closed(&c->strm);
+}
+
 void
 caller_set_user(Caller *c, void *user)
 {
--- a/src/caller.h
+++ b/src/caller.h
@@ -109,6 +109,10 @@
  * responses are the last ones of their connections. */
 void callers_reject_partial(CallerSet *s);
 
+/* True if the caller has closed its sending direction or its connection, which
+ * disconnected() reports later. */
+bool caller_has_left(const Caller *c);
+
 /* Sets the argument "user" of disconnected() and flushed(); with NULL neither
  * is called. */
 void caller_set_user(Caller *c, void *user);
--- a/src/evl.c
+++ b/src/evl.c
@@ -8,7 +8,9 @@
 
 #include "inv.h"
 
-#define EVENTS_PER_WAIT 128
+/* Events are ordered within one wait, so that it should return all that are
+ * pending after a delay. */
+#define EVENTS_PER_WAIT 1024
 /* A timer that expired this long ago shows that the process got no processor
  * time.  Input that arrived meanwhile is then delivered before timers, for at
  * most CATCH_UP_US, so that a peer that was in time does not count as late. */
@@ -79,6 +81,12 @@
     return &l->timer_delays;
 }
 
+int64_t
+evl_elapsed(const Evl *l)
+{
+    return evl_boottime() - l->now_us;
+}
+
 static EvlTimer *
 timer_at(const Evl *l, guint i)
 {
@@ -162,15 +170,21 @@
     return us <= 0 ? 0 : (int)MIN((us + 999) / 1000, G_MAXINT);
 }
 
-static void
-deliver(Evl *l, const struct epoll_event *ev)
+/* Returns the descriptor of an event, or NULL if it was removed since. */
+static EvlFd *
+find_fd(const Evl *l, const struct epoll_event *ev)
 {
     guint fd = (guint)(ev->data.u64 & 0xffffffffU);
     EvlFd *f = fd < l->fds->len ? g_ptr_array_index(l->fds, fd) : NULL;
 
-    if (f != NULL && f->generation == (uint32_t)(ev->data.u64 >> 32)) {
-        f->fn(f->ctx, ev->events);
-    }
+    return f != NULL && f->generation == (uint32_t)(ev->data.u64 >> 32) ? f
+                                                                        : NULL;
+}
+
+static bool
+is_first(const EvlFd *f, uint32_t events)
+{
+    return f->first || (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
 }
 
 static void
@@ -222,8 +236,13 @@
 static void
 deliver_all(Evl *l, const struct epoll_event *evs, int n)
 {
-    for (int i = 0; i < n; i++) {
-        deliver(l, &evs[i]);
+    for (int pass = 0; pass < 2; pass++) {
+        for (int i = 0; i < n; i++) {
+            EvlFd *f = find_fd(l, &evs[i]);
+            if (f != NULL && is_first(f, evs[i].events) == (pass == 0)) {
+                f->fn(f->ctx, evs[i].events);
+            }
+        }
     }
 }
 
--- a/src/evl.h
+++ b/src/evl.h
@@ -26,6 +26,9 @@
  * it until evl_del(). */
 typedef struct EvlFd {
     int fd;
+    bool first; /* delivered before other events of the iteration, as are all
+                   events that report the end of a connection: for changes of
+                   the state that the others use */
     uint32_t generation; /* identifies the registration; set by evl_add() */
     EvlFdFn fn;
     void *ctx;
@@ -71,6 +74,10 @@
  * suspended, too. */
 int64_t evl_now(const Evl *l);
 
+/* Time since evl_now() was read: how long the callbacks of this iteration have
+ * taken so far. */
+int64_t evl_elapsed(const Evl *l);
+
 /* Time at which no event that is delivered now was pending yet.  The events
  * have occurred after it; how long after, is not known. */
 int64_t evl_since(const Evl *l);
--- a/src/kv.c
+++ b/src/kv.c
@@ -177,6 +177,7 @@
         c->open =
             strm_connect(&c->strm, c->loop, (const struct sockaddr *)&c->at,
                          UNACKED_MS, on_stream, c);
+        c->strm.ev.first = c->open;
     }
     if (!c->open) {
         evl_arm(c->loop, &c->timer, now_us);
--- a/src/peer.c
+++ b/src/peer.c
@@ -251,7 +251,7 @@
     p->fns = *fns;
     p->ctx = ctx;
     p->fragments = gossipfrag_new();
-    p->ev = (EvlFd){.fd = fd, .fn = on_datagram, .ctx = p};
+    p->ev = (EvlFd){.fd = fd, .first = true, .fn = on_datagram, .ctx = p};
     evl_add(loop, &p->ev, EPOLLIN);
     return p;
 }
--- a/src/px.c
+++ b/src/px.c
@@ -190,6 +190,11 @@
         caller_respond_text(c, 400, "no_attempt_id", 0);
         return;
     }
+    if (caller_has_left(c)) {
+        /* The end of the connection is read next, and closes it. */
+        p->counts[PX_CALLER_DISCONNECTED]++;
+        return;
+    }
     begin(p, c, req, route, id, now_us);
 }
 
--- a/src/strm.c
+++ b/src/strm.c
@@ -6,6 +6,7 @@
 #include <linux/filter.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
@@ -16,6 +17,9 @@
 
 #define READ_BYTES 16384
 #define KEPT_BYTES 16384 /* of an output buffer that is used again */
+/* The kernel is asked again for the end of a connection after an iteration of
+ * the loop has taken this time. */
+#define LONG_ITERATION_US 20000
 /* When the backlog is full, the kernel drops the SYN of a new connection. */
 #define LISTEN_BACKLOG 1024
 
@@ -152,6 +156,9 @@
 {
     Strm *s = ctx;
 
+    if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) {
+        s->peer_closed = true;
+    }
     if (s->connecting && (events & (EPOLLOUT | EPOLLERR | EPOLLHUP)) != 0) {
         on_writable(s);
         return;
@@ -454,6 +461,17 @@
                                              : STRM_PENDING_FAILURE;
 }
 
+bool
+strm_peer_closed(const Strm *s)
+{
+    struct pollfd p = {.fd = s->ev.fd, .events = POLLRDHUP};
+
+    if (s->peer_closed || evl_elapsed(s->loop) <= LONG_ITERATION_US) {
+        return s->peer_closed;
+    }
+    return poll(&p, 1, 0) > 0;
+}
+
 void
 strm_deliver_all(Strm *s)
 {
--- a/src/strm.h
+++ b/src/strm.h
@@ -45,6 +45,7 @@
     bool deliver_all;  /* see strm_deliver_all() */
     bool write_failed; /* set only after strm_deliver_all() */
     bool hung_up;      /* the connection has ended while reads are suspended */
+    bool peer_closed;  /* see strm_peer_closed() */
 } Strm;
 
 /* Initialises a stream on an accepted, non-blocking socket. */
@@ -100,6 +101,10 @@
 /* Parses "IP:PORT" or "[IPv6]:PORT". */
 bool strm_parse_addr_any(Str text, struct sockaddr_storage *out);
 
+/* True if the peer has closed its sending direction, or the connection has
+ * ended, although bytes that precede the end may not be read yet. */
+bool strm_peer_closed(const Strm *s);
+
 typedef enum StrmPending {
     STRM_PENDING_NONE,
     STRM_PENDING_INPUT, /* bytes, or the end of the peer's direction */
--- a/tests/test_evl.c
+++ b/tests/test_evl.c
@@ -1,4 +1,5 @@
-/* Tests of evl: time since which an event may have been pending. */
+/* Tests of evl: time since which an event may have been pending, and the order
+ * of events. */
 #include "t.h"
 
 #include <sys/epoll.h>
@@ -8,6 +9,7 @@
 
 #define LATE_US 200000
 #define WAIT_MS 50
+#define EVENTS 300
 
 typedef struct World {
     Evl *loop;
@@ -84,5 +86,90 @@
 }
 END_TEST
 
+typedef struct Source {
+    EvlFd event;
+    int pipe[2];
+    int *n_delivered; /* of all sources */
+    int place;        /* among the delivered ones, from 1; 0: none */
+} Source;
+
+static void
+on_source(void *ctx, uint32_t events)
+{
+    Source *s = ctx;
+    char byte;
+    (void)events;
+
+    ck_assert_int_ge((int)read(s->pipe[0], &byte, 1), 0);
+    s->place = ++*s->n_delivered;
+}
+
+static void
+source_init(Source *s, Evl *loop, int *n_delivered, bool first)
+{
+    ck_assert_int_eq(pipe(s->pipe), 0);
+    s->n_delivered = n_delivered;
+    s->place = 0;
+    s->event =
+        (EvlFd){.fd = s->pipe[0], .first = first, .fn = on_source, .ctx = s};
+    evl_add(loop, &s->event, EPOLLIN);
+}
+
+static void
+source_clear(Source *s, Evl *loop)
+{
+    evl_del(loop, &s->event);
+    close(s->pipe[0]);
+    close(s->pipe[1]);
+}
+
+/* Guards against requests that are handled in the iteration in which the
+ * changes that concern them wait behind them, after a delay. */
+START_TEST(changes_and_ends_are_delivered_before_other_events)
+{
+    Evl *loop = evl_new();
+    Source s[3];
+    int n = 0;
+
+    for (int i = 0; i < 3; i++) {
+        source_init(&s[i], loop, &n, i == 2);
+        ck_assert_int_eq(write(s[i].pipe[1], "x", 1), 1);
+    }
+    close(s[1].pipe[1]);
+    evl_run_once(loop, 0);
+    ck_assert_int_eq(n, 3);
+    ck_assert_int_eq(s[0].place, 3);
+    s[1].pipe[1] = dup(s[0].pipe[1]);
+    for (int i = 0; i < 3; i++) {
+        source_clear(&s[i], loop);
+    }
+    evl_free(loop);
+}
+END_TEST
+
+/* Guards against an order that holds within a part of the events only. */
+START_TEST(order_holds_for_hundreds_of_events)
+{
+    Evl *loop = evl_new();
+    Source *s = g_new0(Source, EVENTS);
+    int n = 0;
+
+    for (int i = 0; i < EVENTS; i++) {
+        source_init(&s[i], loop, &n, i == EVENTS - 1);
+        ck_assert_int_eq(write(s[i].pipe[1], "x", 1), 1);
+    }
+    evl_run_once(loop, 0);
+    ck_assert_int_eq(n, EVENTS);
+    ck_assert_int_eq(s[EVENTS - 1].place, 1);
+    for (int i = 0; i < EVENTS; i++) {
+        source_clear(&s[i], loop);
+    }
+    g_free(s);
+    evl_free(loop);
+}
+END_TEST
+
 T_MAIN("evl", an_event_that_is_delivered_late_is_not_older_than_since,
-       since_follows_a_loop_that_waits)
+       since_follows_a_loop_that_waits,
+       changes_and_ends_are_delivered_before_other_events,
+       order_holds_for_hundreds_of_events)
