Choose upstreams by a copy of the store that is recent enough

Cause: the time until a VM knows of a change might use the whole drain time, with no part for the way to the upstream; gossip deferred a VM's own watch by up to 0.77 of it from its arrival, although its sender's answer might be 0.42 of it old; and a choice never looked at the age of the copy, so that a VM that was late, or heard nothing, used it beyond any limit. Change: the propagation time is the drain time less 0.4 s for the way. Gossip carries the age of its sender's knowledge (format version 2); an answer confirms the copy from the start of its watch on, or from its end if nothing has changed. A watch starts, and ends, so that its answer is due before the copy is as old as the propagation time. A request waits while the copy is older, 0.4 s at most, and not while calls to the store fail. Why it works: the check at the choice holds whatever was late; the limits only make it rare that a request has to wait.

--- a/src/edge.c
+++ b/src/edge.c
@@ -25,6 +25,11 @@
 #define VIEW_WAIT_US 400000
 /* The same for a VM that was cut off and lacks changes of the view. */
 #define VIEW_BEHIND_WAIT_US 1000000
+/* Part of the drain time for the way of a request, from the choice of its
+ * upstream to its arrival there: half a round trip between regions, and one
+ * lost packet. */
+#define WAY_US 400000
+#define WAY_PART_MAX 4 /* it is at most the drain time divided by this */
 /* Upstreams whose entries disappear around a failure of the store are kept for
  * this time, within which the entries reappear after an outage of the store.
  */
@@ -159,7 +164,10 @@
 static void
 on_store_failure(void *ctx, int64_t now_us)
 {
-    ups_store_failed(((Edge *)ctx)->upstreams, now_us);
+    Edge *g = ctx;
+
+    ups_store_failed(g->upstreams, now_us);
+    px_store_failed(g->px, now_us);
 }
 
 static void
@@ -347,11 +355,14 @@
     g->rnd = g_rand_new_with_seed(
         (guint32)hash_str(str_of(g->set.vm_id), g->boot_ms));
     g->vms = vml_new(topo);
-    g->propagation_us = MIN(g->set.drain_us, g->set.config_us);
+    int64_t settle_us = MIN(g->set.drain_us, g->set.config_us);
+    g->propagation_us =
+        MIN(g->set.drain_us - MIN(WAY_US, g->set.drain_us / WAY_PART_MAX),
+            g->set.config_us);
     SharersOpts so = {
         .self = hash_str(str_of(g->set.vm_id), 0),
-        .settle_us = g->propagation_us,
-        .hold_us = g->propagation_us * SHARE_HOLD_CHANGES,
+        .settle_us = settle_us,
+        .hold_us = settle_us * SHARE_HOLD_CHANGES,
     };
     g->sharers = sharers_new(&so);
     g->upstreams =
@@ -383,6 +394,7 @@
         .plan = g->plan,
         .crashes = g->crashes,
         .rnd = g->rnd,
+        .copy_age_max_us = g->propagation_us,
     };
     g->px = px_new(&po);
     ViewOpts vo = {
--- a/src/edge_state.h
+++ b/src/edge_state.h
@@ -45,7 +45,8 @@
     EvlTimer tick;
     EvlTimer crash_step; /* while crash_waiting() */
     uint64_t boot_ms;
-    int64_t propagation_us; /* longest time for a change to reach all VMs */
+    int64_t propagation_us; /* longest time for a change to be known to all
+                               VMs */
     bool view_complete;
     bool shutting_down;
     bool closing;         /* the last tick of a stop closed connections */
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -7,12 +7,13 @@
 
 #include "dgram.h"
 
-#define MAGIC 0x6d696e31U    /* "min1": format version 1 */
-#define HEAD_SIZE 28         /* magic, feed, from, to, count */
+#define MAGIC 0x6d696e32U    /* "min2": format version 2 */
+#define HEAD_SIZE 32         /* magic, feed, from, to, age, count */
 #define ITEM_SIZE 20         /* revision, deleted, lengths */
 #define ITEMS_MAX 64         /* items in a datagram */
 #define WHOLE_ITEMS_MAX 4096 /* items in a fragmented message */
 #define ITEM_KEY_BYTES 200   /* longest key of the store */
+#define AGE_MS_MAX 3600000
 
 /* Shares of the propagation time.  The VM that watches sends its gossip after
  * its own pause, the wait and a round trip between regions (0.06), which is
@@ -25,6 +26,11 @@
 #define TIMEOUT_SHARE 0.55
 #define PAUSE_GOSSIP 0.62
 #define PAUSE_GOSSIP_JITTER 0.15
+/* A copy of this age is confirmed by an own watch.  The rest of the
+ * propagation time is for the answer: a round trip, a transfer on a slow link,
+ * and its processing. */
+#define WATCH_AGE 0.69
+#define WATCH_AGE_JITTER 0.08
 /* An answer is forwarded if its call took no longer than the wait plus this
  * share. */
 #define AGE_SHARE 0.12
@@ -77,12 +83,13 @@
     u_int magic = MAGIC;
     int feed = o->feed;
     u_quad_t to = o->to;
+    u_int age_ms = (u_int)CLAMP((o->age_us + 999) / 1000, 0, AGE_MS_MAX);
     XDR x;
 
     xdrmem_create(&x, out, (u_int)cap, XDR_ENCODE);
     bool ok = xdr_u_int(&x, &magic) && xdr_int(&x, &feed) &&
               xdr_u_int64_t(&x, &from) && xdr_u_int64_t(&x, &to) &&
-              xdr_int(&x, &n);
+              xdr_u_int(&x, &age_ms) && xdr_int(&x, &n);
     for (int i = 0; ok && i < n; i++) {
         ok = encode_item(&x, o->items[i]);
     }
@@ -160,13 +167,15 @@
     u_int magic;
     u_quad_t from;
     u_quad_t to;
+    u_int age_ms;
     int n;
 
     if (!xdr_u_int(x, &magic) || magic != MAGIC || !xdr_int(x, &w->feed) ||
         !xdr_u_int64_t(x, &from) || !xdr_u_int64_t(x, &to) ||
-        !xdr_int(x, &n) || n < 0 || n > items_max) {
+        !xdr_u_int(x, &age_ms) || !xdr_int(x, &n) || n < 0 || n > items_max) {
         return false;
     }
+    w->age_us = age_ms * INT64_C(1000);
     w->from = from;
     w->page.rev = to;
     for (int i = 0; i < n; i++) {
@@ -248,6 +257,25 @@
     return share_of(propagation_us, share);
 }
 
+int64_t
+gossip_deferral_us(int64_t propagation_us, int64_t copy_age_us, double sample)
+{
+    int64_t due_us =
+        share_of(propagation_us, WATCH_AGE + WATCH_AGE_JITTER * sample);
+
+    return CLAMP(due_us - copy_age_us, 0,
+                 gossip_pause_us(propagation_us, true, sample));
+}
+
+int64_t
+gossip_wait_us(int64_t propagation_us, int64_t copy_age_us)
+{
+    int64_t due_us = share_of(propagation_us, WATCH_AGE + WATCH_AGE_JITTER);
+
+    return CLAMP(due_us - copy_age_us, 0,
+                 gossip_times(propagation_us).wait_us);
+}
+
 bool
 gossip_is_fresh(int64_t propagation_us, int64_t took_us,
                 int64_t since_failure_us)
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -27,7 +27,8 @@
 typedef struct Gossip {
     int feed; /* index of the watched prefix, see MirrorOpts.prefixes */
     uint64_t from;
-    KvPage page; /* cleared with kv_page_clear() */
+    int64_t age_us; /* all changes older than this were known to the sender */
+    KvPage page;    /* cleared with kv_page_clear() */
 } Gossip;
 
 /* A message to send: all events after revision "from", up to
@@ -38,6 +39,8 @@
     uint64_t to;
     const KvItem *const *items;
     int n;
+    int64_t age_us; /* all changes older than this are in the message, or
+                       before "from" */
 } GossipOut;
 
 /*
@@ -85,6 +88,16 @@
  * received from another VM; sample: random number in [0, 1). */
 int64_t gossip_pause_us(int64_t propagation_us, bool by_gossip, double sample);
 
+/* Returns the pause before the next watch after gossip.  copy_age_us: all
+ * changes older than this are known.  The answer of the watch is due before
+ * the copy is as old as the propagation time. */
+int64_t gossip_deferral_us(int64_t propagation_us, int64_t copy_age_us,
+                           double sample);
+
+/* Returns how long the store may wait for an event, so that its answer is due
+ * before the copy is as old as the propagation time; 0 if it may not. */
+int64_t gossip_wait_us(int64_t propagation_us, int64_t copy_age_us);
+
 /* Returns true if the answer of a watch is recent enough to forward.
  * took_us: time since the call began, on a clock that runs while the machine
  * is suspended; since_failure_us: time since the last failed call. */
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -44,7 +44,11 @@
     bool missed;     /* gossip showed missing revisions.  Other VMs then watch
                         too, so the events of the next watch are not
                         forwarded. */
+    int64_t list_start_us;  /* start of the list under way; boot time */
     int64_t watch_start_us; /* start of the watch; boot time */
+    int64_t watch_wait_us;  /* for which the store waits for events */
+    int64_t partial_us;     /* all changes before it are known but those that
+                               the resync under way will find; boot time */
     int64_t confirmed_us;   /* when the copy was last known to be current; boot
                                time */
     int64_t failed_us;      /* time of the last failed call; steady time */
@@ -159,35 +163,44 @@
     m->o.fns.current(m->o.ctx, now_us);
 }
 
+
+/* Records that all changes before at_us are known. */
 static void
-on_resync(void *ctx, int64_t now_us)
+set_confirmed(Feed *f, int64_t at_us)
 {
-    notify_current(((Feed *)ctx)->m, now_us);
+    Mirror *m = f->m;
+
+    f->partial_us = MAX(f->partial_us, at_us);
+    if (resync_lacks_changes(f->resync)) {
+        return;
+    }
+    f->confirmed_us = f->partial_us;
+    at_us = f->confirmed_us;
+    for (int i = 0; i < m->n_feeds; i++) {
+        at_us = MIN(at_us, m->feeds[i].confirmed_us);
+    }
+    if (m->o.fns.confirmed != NULL) {
+        m->o.fns.confirmed(m->o.ctx, at_us);
+    }
 }
 
-/* Handles an answer of the store which shows that changes were missed. */
 static void
-changes_missed(Feed *f, int64_t now_us)
+on_resync(void *ctx, int64_t now_us)
 {
-    Mirror *m = f->m;
+    Feed *f = ctx;
 
-    if (f->listed && evl_boottime() - f->confirmed_us > m->o.propagation_us) {
-        m->o.fns.behind(m->o.ctx, now_us);
-    }
+    set_confirmed(f, f->partial_us);
+    notify_current(f->m, now_us);
 }
 
-/* Records that all changes before at_us are known. */
+/* Handles an answer of the store which shows that changes were missed. */
 static void
-set_confirmed(Feed *f, int64_t at_us)
+changes_missed(Feed *f, int64_t now_us)
 {
     Mirror *m = f->m;
 
-    f->confirmed_us = at_us;
-    for (int i = 0; i < m->n_feeds; i++) {
-        at_us = MIN(at_us, m->feeds[i].confirmed_us);
-    }
-    if (m->o.fns.confirmed != NULL) {
-        m->o.fns.confirmed(m->o.ctx, at_us);
+    if (f->listed && evl_boottime() - f->confirmed_us > m->o.propagation_us) {
+        m->o.fns.behind(m->o.ctx, now_us);
     }
 }
 
@@ -219,7 +232,7 @@
         kvcache_drop_missing(f->cache, kvcache_rev(f->cache), 2, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
     f->listing = false;
-    set_confirmed(f, evl_boottime());
+    set_confirmed(f, f->list_start_us);
     mark_current(f, now_us);
     if (f->relist) {
         feed_schedule(f, RELIST_US);
@@ -271,21 +284,31 @@
         resync_end(f->resync);
         kvcache_begin_list(f->cache);
         g_clear_pointer(&f->after, g_free);
+        f->list_start_us = evl_boottime();
     }
     f->m->calls++;
     kv_call(f->conn, f->m->o.codec->list(f->prefix, f->after, f->stale),
             CALL_TIMEOUT_US, on_list, f);
 }
 
+static int64_t
+copy_age_us(const Feed *f)
+{
+    return evl_boottime() - f->confirmed_us;
+}
+
 static void
 feed_pause(Feed *f, bool by_gossip, int64_t now_us)
 {
     Mirror *m = f->m;
     double sample = g_rand_double(m->o.rnd);
+    int64_t pause_us =
+        by_gossip
+            ? gossip_deferral_us(m->o.propagation_us, copy_age_us(f), sample)
+            : gossip_pause_us(m->o.propagation_us, false, sample);
 
     f->pausing = true;
-    evl_arm(m->o.loop, &f->timer,
-            now_us + gossip_pause_us(m->o.propagation_us, by_gossip, sample));
+    evl_arm(m->o.loop, &f->timer, now_us + pause_us);
 }
 
 /* Shows which revisions and events other VMs were sent. */
@@ -300,6 +323,15 @@
     }
 }
 
+/* Returns a time before which no change is missing from the answer of a watch
+ * with n events, which has just arrived. */
+static int64_t
+answered_us(const Feed *f, guint n)
+{
+    /* Without an event the store has waited for the whole time. */
+    return f->watch_start_us + (n == 0 ? f->watch_wait_us : 0);
+}
+
 /* Applies the events of a watch, and forwards them to nearby VMs if the answer
  * is recent enough. */
 static void
@@ -320,7 +352,9 @@
                        .from = from,
                        .to = kvcache_rev(f->cache),
                        .items = (const KvItem *const *)forward->pdata,
-                       .n = (int)forward->len};
+                       .n = (int)forward->len,
+                       .age_us =
+                           evl_boottime() - answered_us(f, p->items->len)};
         m->o.fns.announce(m->o.ctx, &o);
         log_forwarded(f, p, &o);
     }
@@ -342,7 +376,8 @@
         break;
     case GOSSIP_NEXT:
         kvcache_apply_events(f->cache, &w->page, NULL, now_us);
-        set_confirmed(f, evl_boottime());
+        /* The message may have waited in the socket of this VM. */
+        set_confirmed(f, evl_since(m->o.loop) - w->age_us);
         /* A VM whose calls the store refuses stays current by gossip. */
         if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed) {
             m->deferred++;
@@ -358,7 +393,7 @@
                        " from=%" G_GUINT64_FORMAT " to=%" G_GUINT64_FORMAT
                        " copy_age_ms=%" G_GINT64_FORMAT,
                        f->prefix, kvcache_rev(f->cache), w->from, w->page.rev,
-                       (evl_boottime() - f->confirmed_us) / 1000);
+                       copy_age_us(f) / 1000);
             evl_arm(m->o.loop, &f->timer,
                     now_us + g_rand_int_range(m->o.rnd, 0, MISSING_WATCH_US));
         }
@@ -386,6 +421,7 @@
     kvcache_merge(f->cache, &p, now_us);
     kvcache_set_rev(f->cache, p.rev);
     kv_page_clear(&p);
+    set_confirmed(f, f->list_start_us);
     feed_succeeded(f);
     feed_pause(f, false, now_us);
     resync_run(f->resync, kvcache_rev(f->cache));
@@ -396,6 +432,7 @@
 feed_list_urgent(Feed *f)
 {
     f->m->calls++;
+    f->list_start_us = evl_boottime();
     kv_call(f->conn, f->m->o.codec->list(f->m->o.urgent, NULL, false),
             CALL_TIMEOUT_US, on_urgent, f);
 }
@@ -466,7 +503,7 @@
         feed_watch(f);
         return;
     }
-    set_confirmed(f, f->watch_start_us);
+    set_confirmed(f, answered_us(f, n));
     mark_current(f, now_us);
     feed_pause(f, f->missed, now_us);
     f->missed = false;
@@ -480,10 +517,13 @@
      * that the store is reachable again. */
     bool at_once = f->confirming || f->checking || f->failing;
     int64_t limit_us = f->failing ? CALL_TIMEOUT_US : t.timeout_us;
-    int wait_ms = at_once ? CONFIRM_WAIT_MS : (int)(t.wait_us / 1000);
+    int64_t wait_us =
+        at_once ? 0 : gossip_wait_us(f->m->o.propagation_us, copy_age_us(f));
+    int wait_ms = MAX((int)(wait_us / 1000), CONFIRM_WAIT_MS);
 
     f->m->calls++;
     f->watch_start_us = evl_boottime();
+    f->watch_wait_us = wait_ms * INT64_C(1000);
     kv_call(f->conn,
             f->m->o.codec->watch(f->prefix, kvcache_rev(f->cache), wait_ms),
             limit_us, on_watch, f);
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -52,7 +52,8 @@
     const char *urgent; /* prefix of a few keys, read first after changes
                            were missed */
     GRand *rnd;
-    int64_t propagation_us; /* longest time for a change to reach this VM */
+    int64_t propagation_us; /* longest time for a change to be known to this
+                               VM */
     MirrorFns fns;
     void *ctx;
 } MirrorOpts;
--- a/src/px.c
+++ b/src/px.c
@@ -66,7 +66,7 @@
         pxreq_respond(r, PX_CRASHES, 503, "crashes_upstreams", 0, now_us);
         return;
     }
-    if (now_us < r->p->view_wait_us) {
+    if (now_us < r->p->view_wait_us || !pxreq_copy_is_usable(r->p, now_us)) {
         enqueue(r, now_us);
         return;
     }
@@ -310,6 +310,16 @@
 px_set_confirmed(Px *p, int64_t at_us)
 {
     p->confirmed_us = at_us;
+    p->copy_wait_us = 0;
+    p->store_failed_us = 0;
+}
+
+void
+px_store_failed(Px *p, int64_t now_us)
+{
+    if (p->store_failed_us == 0) {
+        p->store_failed_us = now_us;
+    }
 }
 
 void
@@ -336,8 +346,10 @@
     g_string_append_printf(out,
                            "edge_leaving_notices_total %" PRId64
                            "\nedge_upstream_waits_total %" PRId64
-                           "\nedge_caller_lossy_ends_total %" PRId64 "\n",
-                           p->leaving_notices, p->waits, p->lossy_ends);
+                           "\nedge_caller_lossy_ends_total %" PRId64
+                           "\nedge_copy_waits_total %" PRId64 "\n",
+                           p->leaving_notices, p->waits, p->lossy_ends,
+                           p->copy_waits);
     for (int i = 0; i < PX_COUNTS; i++) {
         g_string_append_printf(out, "edge_requests_%s_total %" PRId64 "\n",
                                count_names[i], p->counts[i]);
--- a/src/px.h
+++ b/src/px.h
@@ -35,6 +35,9 @@
     Plan *plan;
     Crashes *crashes;
     GRand *rnd;
+    /* Requests wait for a newer copy of the store when it is older; 0: they
+     * never do. */
+    int64_t copy_age_max_us;
 } PxOpts;
 
 Px *px_new(const PxOpts *o);
@@ -59,6 +62,10 @@
 /* This VM knows all changes of the store before at_us. */
 void px_set_confirmed(Px *p, int64_t at_us);
 
+/* A call to the store failed.  Requests do not wait for a newer copy while
+ * calls have failed for some time. */
+void px_store_failed(Px *p, int64_t now_us);
+
 /* Queues all requests until until_us, since the view of the store may be out
  * of date; 0: dispatches them again. */
 void px_wait_for_view(Px *p, int64_t until_us);
--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -3,6 +3,31 @@
 
 #include <inttypes.h>
 
+/* For which requests wait for a newer copy of the store: a failed call, a
+ * connection and a round trip between regions. */
+#define COPY_WAIT_US 400000
+
+bool
+pxreq_copy_is_usable(Px *p, int64_t now_us)
+{
+    int64_t age_us = now_us - p->confirmed_us;
+
+    if (p->o.copy_age_max_us == 0 || p->confirmed_us == 0 ||
+        age_us <= p->o.copy_age_max_us ||
+        (p->store_failed_us != 0 &&
+         now_us - p->store_failed_us >= COPY_WAIT_US)) {
+        return true;
+    }
+    if (p->copy_wait_us == 0) {
+        p->copy_wait_us = now_us + COPY_WAIT_US;
+        p->copy_waits++;
+        dlog_event(p->o.log, DLOG_WARN, "store",
+                   "event=copy_old age_ms=%" PRId64 " wait_ms=%d",
+                   age_us / 1000, COPY_WAIT_US / 1000);
+    }
+    return now_us >= p->copy_wait_us;
+}
+
 void
 pxreq_log(const Req *r, const char *outcome, int status, int64_t now_us)
 {
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -73,6 +73,11 @@
     int64_t view_wait_us; /* see px_wait_for_view() */
     int64_t resumed_us;   /* see px_resumed() */
     int64_t confirmed_us; /* see px_set_confirmed() */
+    int64_t copy_wait_us; /* until then requests wait for a newer copy of the
+                             store; 0: the copy is not too old */
+    int64_t
+        store_failed_us; /* first failed call since confirmed_us; 0: none */
+    int64_t copy_waits;  /* times that requests waited for it */
     GateStop stop;
     GQueue queue;
     EvlTimer queue_timer;
@@ -85,6 +90,10 @@
     Hist copy_age; /* time since confirmed_us at the start of an attempt */
 };
 
+/* True if a request may be sent by what this VM knows: its copy of the store
+ * is recent, or a newer one cannot be had. */
+bool pxreq_copy_is_usable(Px *p, int64_t now_us);
+
 /* Logs how the request ended. */
 void pxreq_log(const Req *r, const char *outcome, int status, int64_t now_us);
 
--- a/standins/peer.c
+++ b/standins/peer.c
@@ -26,8 +26,8 @@
 send_unchanged(int fd, const struct sockaddr_in *to, uint64_t rev,
                uint64_t age_ms)
 {
-    (void)age_ms; /* messages do not carry it */
-    GossipOut o = {.from = rev, .to = rev};
+    GossipOut o = {
+        .from = rev, .to = rev, .age_us = (int64_t)age_ms * INT64_C(1000)};
     char buf[GOSSIP_BYTES_MAX];
     size_t n = gossip_encode(&o, buf, sizeof(buf));
 
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -36,8 +36,9 @@
     int64_t after_us;     /* how long to run after the mirror is ready */
     Mirror *mirror;
     EvlTimer gossip; /* armed at the first failed call if gossip_rev is set */
-    uint64_t gossip_rev;   /* the gossip continues from this revision; 0: none
-                              is sent */
+    uint64_t gossip_rev; /* the gossip continues from this revision; 0: none
+                            is sent */
+    int64_t gossip_age_us;
     int n_calls_at_gossip; /* calls made when the gossip was received */
     char calls[CALLS_MAX][128];
     int n_calls;
@@ -49,7 +50,10 @@
     /* "N:KEYS|" for each call of MirrorFns.current: the calls made by then and
      * the keys held. */
     char currents[1024];
+    int64_t confirmed_us;       /* last argument of MirrorFns.confirmed */
+    int64_t call_us[CALLS_MAX]; /* when each call arrived */
     MirrorCounts counts;
+    int64_t announced_age_us;
     char announced[256]; /* keys that were announced to other VMs */
 } Store;
 
@@ -93,7 +97,7 @@
     ck_assert_int_lt(s->n_calls, CALLS_MAX);
     snprintf(call, sizeof(s->calls[0]), "%.*s", (int)c->req.target.n,
              c->req.target.p);
-    s->n_calls++;
+    s->call_us[s->n_calls++] = evl_boottime();
     const Answer *a = find_answer(s, call);
     if (a != NULL) { /* other calls stay open, e.g. watches */
         stub_respond(c, a->status, a->body);
@@ -170,7 +174,9 @@
 on_gossip_timer(void *ctx, int64_t now_us)
 {
     Store *s = ctx;
-    Gossip w = {.from = s->gossip_rev, .page = {.rev = s->gossip_rev + 1}};
+    Gossip w = {.from = s->gossip_rev,
+                .age_us = s->gossip_age_us,
+                .page = {.rev = s->gossip_rev + 1}};
 
     w.page.items = g_array_new(FALSE, TRUE, sizeof(KvItem));
     mirror_receive(s->mirror, &w, now_us);
@@ -189,11 +195,19 @@
     }
 }
 
+static void
+on_confirmed(void *ctx, int64_t at_us)
+{
+    ((Store *)ctx)->confirmed_us = at_us;
+}
+
 static void
 on_announce(void *ctx, const GossipOut *o)
 {
     Store *s = ctx;
 
+    s->announced_age_us = o->age_us;
+
     for (int i = 0; i < o->n; i++) {
         g_strlcat(s->announced, o->items[i]->key, sizeof(s->announced));
         g_strlcat(s->announced, " ", sizeof(s->announced));
@@ -201,10 +215,10 @@
 }
 
 /* Runs a mirror against the script.  after_us: how long to run after the
- * mirror is ready; gossip_rev: see Store. */
+ * mirror is ready; gossip_rev and gossip_age_us: see Store. */
 static void
 run_with_gossip(Store *s, const Answer *script, int64_t after_us,
-                uint64_t gossip_rev)
+                uint64_t gossip_rev, int64_t gossip_age_us)
 {
     DlogOpts lo = {STDERR_FILENO, 100, 65536};
 
@@ -213,6 +227,7 @@
     s->script = script;
     s->after_us = after_us;
     s->gossip_rev = gossip_rev;
+    s->gossip_age_us = gossip_age_us;
     s->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     stub_open(&s->stub, s->loop, on_request, s);
     MirrorOpts o = {
@@ -229,6 +244,7 @@
                 .current = on_current,
                 .behind = on_behind,
                 .failed = on_failed,
+                .confirmed = on_confirmed,
                 .announce = on_announce},
         .ctx = s,
     };
@@ -254,7 +270,7 @@
 static void
 run(Store *s, const Answer *script, int64_t after_us)
 {
-    run_with_gossip(s, script, after_us, 0);
+    run_with_gossip(s, script, after_us, 0, 0);
 }
 
 #define ITEM(key, rev)                                                        \
--- a/tests/px_world.h
+++ b/tests/px_world.h
@@ -21,6 +21,8 @@
 #define S (1000 * MS)
 #define SETTLE_US (50 * MS) /* for what is under way on loopback */
 #define TIMEOUT_US (2 * S)  /* of the route */
+/* Without effect until px_set_confirmed(). */
+#define COPY_AGE_MAX_US (500 * MS)
 
 typedef struct World {
     Evl *loop;
@@ -147,7 +149,8 @@
                  .demand = w->demand,
                  .plan = w->plan,
                  .crashes = w->crashes,
-                 .rnd = w->rnd};
+                 .rnd = w->rnd,
+                 .copy_age_max_us = COPY_AGE_MAX_US};
     w->px = px_new(&po);
     w->listener = world_bind(&at);
     ck_assert_int_eq(listen(w->listener, 1024), 0);
@@ -234,6 +237,20 @@
     return n > 12 ? atoi(buf + strlen("HTTP/1.1 ")) : 0;
 }
 
+/* Lets discovery report that the upstream drains. */
+static inline void
+world_drain(World *w)
+{
+    UpsReport r = {.id = str_of("u-1"),
+                   .service = str_of("desk"),
+                   .zone = str_of("z"),
+                   .slots = 100,
+                   .draining = true};
+
+    memcpy(&r.addr, &w->u->addr, sizeof(r.addr));
+    ups_report(w->set, &r, evl_now(w->loop));
+}
+
 /* Checks that no request has reached the upstream, and that the caller was
  * told so; ends the world. */
 static inline void
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -9,6 +9,7 @@
 #include "gossipfrag.h"
 
 #define N_MAX 40
+#define AGE_US 123400
 
 typedef struct Changes {
     KvItem items[N_MAX];
@@ -51,12 +52,14 @@
     for (int i = 0; i < 8; i++) {
         add(&f, 101 + 3 * (uint64_t)i, i % 2 == 0 ? 0 : 100 + (size_t)i);
     }
-    GossipOut o = {0, 100, 190, f.list, f.n};
+    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US};
     size_t n = gossip_encode(&o, buf, sizeof(buf));
     ck_assert(gossip_is(buf, n));
     ck_assert(gossip_decode(&w, buf, n, NULL));
     ck_assert_uint_eq(w.from, 100);
     ck_assert_uint_eq(w.page.rev, 190);
+    ck_assert_int_ge(w.age_us, AGE_US);
+    ck_assert_int_lt(w.age_us, AGE_US + 1000);
     ck_assert_uint_eq(w.page.items->len, (guint)f.n);
     for (int i = 0; i < f.n; i++) {
         const KvItem *it = &g_array_index(w.page.items, KvItem, i);
@@ -92,7 +95,7 @@
     Changes f = {.n = 0};
 
     add(&f, 5, 100);
-    GossipOut o = {0, 1, 200, f.list, f.n};
+    GossipOut o = {0, 1, 200, f.list, f.n, AGE_US};
     ck_assert_int_eq(order_of(&o, 1), GOSSIP_NEXT);
     add(&f, 8, 5000);
     o.n = f.n;
@@ -141,6 +144,34 @@
 }
 END_TEST
 
+/* Guards against a copy that is older than the propagation time before its
+ * next watch is answered, as gossip was old, or as the store waits for events.
+ */
+START_TEST(old_copies_are_confirmed_in_time)
+{
+    static const int64_t propagations_us[] = {1600000, 2100000, 3600000};
+    const int64_t answer_us = 350000; /* a round trip and a lost packet */
+
+    for (size_t i = 0; i < G_N_ELEMENTS(propagations_us); i++) {
+        int64_t p_us = propagations_us[i];
+        int64_t wait_us = gossip_times(p_us).wait_us;
+        for (int64_t age_us = 0; age_us <= p_us - answer_us; age_us += 5000) {
+            int64_t last_us = gossip_deferral_us(p_us, age_us, 0.999);
+            ck_assert_int_le(gossip_deferral_us(p_us, age_us, 0), last_us);
+            ck_assert_int_le(age_us + last_us + answer_us, p_us);
+            ck_assert_int_le(age_us + gossip_wait_us(p_us, age_us) + answer_us,
+                             p_us);
+        }
+        /* Recent gossip defers by the whole pause, and the store waits. */
+        ck_assert_int_eq(gossip_deferral_us(p_us, 0, 0),
+                         gossip_pause_us(p_us, true, 0));
+        ck_assert_int_eq(gossip_wait_us(p_us, 0), wait_us);
+        ck_assert_int_eq(gossip_deferral_us(p_us, 2 * p_us, 0.5), 0);
+        ck_assert_int_eq(gossip_wait_us(p_us, 2 * p_us), 0);
+    }
+}
+END_TEST
+
 /* Guards against forwarding out-of-date answers after the machine was
  * suspended, and answers shortly after a failure of the store, when entries
  * may be missing for a moment only. */
@@ -161,7 +192,7 @@
     char buf[GOSSIP_BYTES_MAX];
 
     add(&f, 5, 100);
-    GossipOut o = {0, 1, 20, f.list, f.n};
+    GossipOut o = {0, 1, 20, f.list, f.n, AGE_US};
     size_t n = gossip_encode(&o, buf, sizeof(buf));
     for (size_t cut = 0; cut < n; cut++) {
         ck_assert(!gossip_decode(&w, buf, cut, NULL));
@@ -215,7 +246,7 @@
             f.items[i].value = g_bytes_new(noise, sizeof(noise));
         }
     }
-    GossipOut o = {0, 100, 190, f.list, f.n};
+    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US};
     ck_assert(!gossip_fits(&o));
     GPtrArray *fragments = gossipfrag_split(&o, 1);
     ck_assert_uint_gt(fragments->len, 1);
@@ -255,7 +286,7 @@
     for (int i = 0; i < N_MAX; i++) {
         add(&f, 101 + (uint64_t)i, 250);
     }
-    GossipOut o = {0, 100, 190, f.list, f.n};
+    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US};
     GPtrArray *fragments = gossipfrag_split(&o, 1);
     const char *p = g_bytes_get_data(g_ptr_array_index(fragments, 0), &n);
     for (int i = 0; i < 20000; i++) {
@@ -279,6 +310,6 @@
 T_MAIN("news", changes_arrive_complete_and_in_order,
        too_large_message_reports_missing_revisions,
        missing_and_old_revisions_are_distinguished,
-       last_watcher_watches_again_first, stale_answers_are_not_forwarded,
-       malformed_datagrams_are_rejected, large_messages_are_fragmented,
-       malformed_fragments_are_rejected)
+       last_watcher_watches_again_first, old_copies_are_confirmed_in_time,
+       stale_answers_are_not_forwarded, malformed_datagrams_are_rejected,
+       large_messages_are_fragmented, malformed_fragments_are_rejected)
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -1,6 +1,8 @@
 /* Tests of mirror: lists, watches and resync. */
 #include "mirror_world.h"
 
+#define LATE_US 150000 /* of timers and calls on a busy machine */
+
 /* Guards against a restarted VM that uses an upstream that left, or routes
  * that were withdrawn, because its first list came from an out-of-date copy of
  * the store. */
@@ -259,12 +261,76 @@
 
     /* The next watch starts at the earliest 1.24 s after the gossip; without
      * gossip it would start after 0.2 s. */
-    run_with_gossip(&s, script, 1500000, 9);
+    run_with_gossip(&s, script, 1500000, 9, 0);
     ck_assert_int_gt(s.n_calls_at_gossip, 0);
     ck_assert_int_eq(s.n_calls, s.n_calls_at_gossip);
 }
 END_TEST
 
+/* Guards against a VM that takes gossip for as recent as its arrival, and
+ * learns late of what has changed since its sender read the store. */
+START_TEST(old_gossip_defers_the_watch_by_what_is_left)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 503, "{}"},
+        {"after=10&", 200, EVENTS("", "10")},
+        {NULL, 0, NULL},
+    };
+    const int64_t age_us = 440000; /* less than that of the copy */
+    int64_t pause_us[2];
+
+    for (int old = 0; old < 2; old++) {
+        run_with_gossip(&s, script, PROPAGATION_US, 9, old * age_us);
+        int next = s.n_calls_at_gossip;
+        ck_assert_int_gt(s.n_calls, next);
+        pause_us[old] = s.call_us[next] - s.call_us[next - 1];
+    }
+    ck_assert_int_gt(pause_us[0] - pause_us[1], LATE_US);
+}
+END_TEST
+
+/* Guards against a copy that counts as recent as the arrival of an answer,
+ * which the network or this process may have delayed. */
+START_TEST(an_answer_with_events_confirms_the_start_of_its_watch)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, EVENTS(ITEM("servers/a", "10"), "10")},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, PROPAGATION_US / 2);
+    ck_assert_int_ge(s.n_calls, 3);
+    ck_assert_int_gt(s.confirmed_us, s.call_us[1]);
+    ck_assert_int_le(s.confirmed_us, s.call_us[2]);
+    ck_assert_int_ge(s.announced_age_us, 0);
+    ck_assert_int_lt(s.announced_age_us, LATE_US);
+}
+END_TEST
+
+/* Guards against a copy that counts as complete while it lacks what a resync
+ * has still to find. */
+START_TEST(a_copy_that_lacks_changes_is_not_confirmed)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 410, "{}"},
+        {"PathPrefix=op/", 200, LIST("", "20")},
+        {"Serializable=1", 200, LIST("", "15")},
+        {"after=20&", 200, EVENTS("", "20")},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, PROPAGATION_US / 2);
+    ck_assert_int_ge(s.n_calls, 5);
+    ck_assert_int_le(s.confirmed_us, s.call_us[2]);
+}
+END_TEST
+
 /* Guards against a late recovery: after a failed call, a watch that waits for
  * events shows only when it ends that the store is reachable again. */
 START_TEST(watch_after_failure_does_not_wait)
@@ -292,4 +358,7 @@
        resync_is_in_time_if_copies_lag, list_of_store_ends_resync,
        a_list_that_lacks_a_key_is_not_current,
        gossip_defers_calls_while_store_refuses,
+       old_gossip_defers_the_watch_by_what_is_left,
+       an_answer_with_events_confirms_the_start_of_its_watch,
+       a_copy_that_lacks_changes_is_not_confirmed,
        watch_after_failure_does_not_wait)
