Look at the upstream again before a request is written to a new connection

Cause: the upstream was chosen before the connection was opened, and not looked at again. The drain time had no part for this stage. Change: uconn reports that it is about to write the request, and its owner may cancel it. px then chooses another upstream, or queues the request until the copy is recent. Why it works: no time passes between the second look and the write.

--- a/src/entry_up.c
+++ b/src/entry_up.c
@@ -434,6 +434,7 @@
         end_with(c, c->sent ? CALL_CLOSED : CALL_NOT_SENT,
                  "the answer is not HTTP");
         break;
+    case UCONN_SENDING:
     case UCONN_FLUSHED:
         if (c->pipe_open) {
             evl_mod(c->pool->loop, &c->pipe, EPOLLIN);
--- a/src/px.c
+++ b/src/px.c
@@ -6,7 +6,6 @@
 #include "hash.h"
 #include "pxtry.h"
 
-#define QUEUE_POLL_US 8000        /* between checks for capacity */
 #define RETRY_SHUTDOWN_US 20000   /* other VMs accept the retry at once */
 #define RETRY_NO_ROUTES_US 500000 /* the first configuration is due soon */
 /* Grace after the route's timeout for a response that is nearly complete.  It
@@ -18,27 +17,6 @@
     "answered", "refused",  "failed",   "timed_out", "cut",
     "left",     "unrouted", "bad_head", "retries",   "crashes"};
 
-/* Queues a request until the next check for capacity, by rank and then by
- * arrival. */
-static void
-enqueue(Req *r, int64_t now_us)
-{
-    Px *p = r->p;
-
-    if (r->queue_link.data == NULL) {
-        GList *at = p->queue.head;
-        while (at != NULL &&
-               ((Req *)at->data)->route->rank <= r->route->rank) {
-            at = at->next;
-        }
-        r->queue_link.data = r;
-        g_queue_insert_before_link(&p->queue, at, &r->queue_link);
-    }
-    if (p->queue_timer.heap_index == 0) {
-        evl_arm(p->o.loop, &p->queue_timer, now_us + QUEUE_POLL_US);
-    }
-}
-
 static const char *
 refusal(PickReason why)
 {
@@ -67,7 +45,7 @@
         return;
     }
     if (now_us < r->p->view_wait_us || !pxreq_copy_is_usable(r->p, now_us)) {
-        enqueue(r, now_us);
+        pxreq_enqueue(r, now_us);
         return;
     }
     Ups *u = pxtry_pick(r, now_us);
@@ -78,7 +56,7 @@
     GateOut g =
         pxreq_gate(r, r->why != PICK_NONE, now_us - r->begin_us, now_us);
     if (g.queue) {
-        enqueue(r, now_us);
+        pxreq_enqueue(r, now_us);
         return;
     }
     pxreq_respond(r, PX_REFUSED, 503, refusal(r->why), g.retry_us, now_us);
@@ -99,7 +77,7 @@
         l = next;
     }
     if (p->queue.length > 0 && p->queue_timer.heap_index == 0) {
-        evl_arm(p->o.loop, &p->queue_timer, now_us + QUEUE_POLL_US);
+        evl_arm(p->o.loop, &p->queue_timer, now_us + PXREQ_QUEUE_POLL_US);
     }
 }
 
--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -92,6 +92,35 @@
     }
 }
 
+void
+pxreq_drop_unsent(Req *r, int64_t now_us)
+{
+    r->may_run = false;
+    pxreq_drop_upstream(r, now_us);
+    evl_disarm(r->p->o.loop, &r->timer);
+    r->state = REQ_PENDING;
+    ups_unref(r->tried[--r->n_tried]);
+}
+
+void
+pxreq_enqueue(Req *r, int64_t now_us)
+{
+    Px *p = r->p;
+
+    if (r->queue_link.data == NULL) {
+        GList *at = p->queue.head;
+        while (at != NULL &&
+               ((Req *)at->data)->route->rank <= r->route->rank) {
+            at = at->next;
+        }
+        r->queue_link.data = r;
+        g_queue_insert_before_link(&p->queue, at, &r->queue_link);
+    }
+    if (p->queue_timer.heap_index == 0) {
+        evl_arm(p->o.loop, &p->queue_timer, now_us + PXREQ_QUEUE_POLL_US);
+    }
+}
+
 void
 pxreq_dequeue(Req *r)
 {
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -101,6 +101,15 @@
  * releases its upstream. */
 void pxreq_drop_upstream(Req *r, int64_t now_us);
 
+#define PXREQ_QUEUE_POLL_US 8000 /* between checks for capacity */
+
+/* The same for an attempt of which nothing was sent; it does not count. */
+void pxreq_drop_unsent(Req *r, int64_t now_us);
+
+/* Queues a request until the next check for capacity, by rank and then by
+ * arrival. */
+void pxreq_enqueue(Req *r, int64_t now_us);
+
 /* Removes the request from the queue for capacity, if it is there. */
 void pxreq_dequeue(Req *r);
 
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -350,6 +350,23 @@
                              (is_short ? SHORT_BYTES : BACKLOG_BYTES));
 }
 
+/* Looks at the upstream again before the request is written to a new
+ * connection, which may have taken CONNECT_US. */
+static void
+before_sending(Req *r, int64_t now_us)
+{
+    Px *p = r->p;
+
+    if (!ups_usable(p->o.upstreams, r->u)) {
+        attempt_ended(r, UP_NOT_SENT, now_us);
+    }
+    else if (!pxreq_copy_is_usable(p, now_us) && r->n_delivered == 0) {
+        /* It is chosen again with a recent copy of the store. */
+        pxreq_drop_unsent(r, now_us);
+        pxreq_enqueue(r, now_us);
+    }
+}
+
 static void
 on_upstream(void *ctx, UconnEvent ev, int64_t now_us)
 {
@@ -378,6 +395,9 @@
         }
         attempt_ended(r, end, now_us);
         break;
+    case UCONN_SENDING:
+        before_sending(r, now_us);
+        break;
     case UCONN_CONNECTED:
     case UCONN_FLUSHED:
         break;
--- a/src/uconn.c
+++ b/src/uconn.c
@@ -175,8 +175,11 @@
         notify(c, UCONN_CONNECTED);
     }
     else if (c->queued->len > 0) {
-        strm_write(&c->strm, c->queued->data, c->queued->len);
-        g_byte_array_set_size(c->queued, 0);
+        notify(c, UCONN_SENDING);
+        if (!c->closed) {
+            strm_write(&c->strm, c->queued->data, c->queued->len);
+            g_byte_array_set_size(c->queued, 0);
+        }
     }
 }
 
--- a/src/uconn.h
+++ b/src/uconn.h
@@ -21,9 +21,11 @@
 typedef struct UconnPool UconnPool;
 
 typedef enum UconnEvent {
-    UCONN_CONNECTED,      /* only when uconn_send() was not called before */
-    UCONN_BODY,           /* the head is valid; more of the body has arrived */
-    UCONN_DONE,           /* the response is complete */
+    UCONN_CONNECTED, /* only when uconn_send() was not called before */
+    UCONN_SENDING,   /* connected after uconn_send(): the request is written
+                        now, unless the owner cancels it */
+    UCONN_BODY,      /* the head is valid; more of the body has arrived */
+    UCONN_DONE,      /* the response is complete */
     UCONN_CONNECT_FAILED, /* not connected; nothing was written */
     UCONN_LOST,           /* ended before the response was complete */
     UCONN_INVALID,        /* received bytes that are no valid response */
--- a/tests/test_px_drain.c
+++ b/tests/test_px_drain.c
@@ -100,8 +100,56 @@
 }
 END_TEST
 
+/* Guards against a request that waits for a connection while its upstream
+ * begins to leave, and is written when it is established. */
+START_TEST(a_request_is_not_written_to_a_connection_of_an_upstream_that_drains)
+{
+    World w;
+    char byte;
+
+    world_init(&w, true, 100);
+    int caller = world_ask(&w, "a", 1500);
+    while (w.u->n_conns == 0) {
+        evl_run_once(w.loop, 1);
+    }
+    world_drain(&w);
+    world_run(&w, SETTLE_US);
+    int fd = world_accept(&w);
+    ck_assert(fd < 0 || recv(fd, &byte, 1, MSG_DONTWAIT) <= 0);
+    ck_assert_int_eq(world_status(caller), 503);
+    close(caller);
+    world_clear(&w);
+}
+END_TEST
+
+/* The same for a copy that has become too old meanwhile. */
+START_TEST(a_request_is_not_written_by_a_copy_that_has_become_too_old)
+{
+    World w;
+    char byte;
+
+    world_init(&w, true, 100);
+    int caller = world_ask(&w, "a", 1500);
+    while (w.u->n_conns == 0) {
+        evl_run_once(w.loop, 1);
+    }
+    px_set_confirmed(w.px, evl_now(w.loop) - COPY_AGE_MAX_US - MS);
+    world_run(&w, SETTLE_US);
+    int fd = world_accept(&w);
+    ck_assert(fd < 0 || recv(fd, &byte, 1, MSG_DONTWAIT) <= 0);
+    px_set_confirmed(w.px, evl_now(w.loop));
+    world_run(&w, SETTLE_US);
+    fd = world_accept(&w);
+    ck_assert_int_gt((int)recv(fd, &byte, 1, MSG_DONTWAIT), 0);
+    close(caller);
+    world_clear(&w);
+}
+END_TEST
+
 T_MAIN("px_drain", a_queued_request_is_not_sent_to_an_upstream_that_drains,
        a_request_waits_for_a_copy_that_is_recent,
        a_request_is_sent_when_the_copy_is_confirmed,
        a_request_is_sent_by_an_old_copy_if_the_store_does_not_answer,
-       a_request_does_not_wait_while_calls_to_the_store_fail)
+       a_request_does_not_wait_while_calls_to_the_store_fail,
+       a_request_is_not_written_to_a_connection_of_an_upstream_that_drains,
+       a_request_is_not_written_by_a_copy_that_has_become_too_old)
--- a/tests/test_uconn_end.c
+++ b/tests/test_uconn_end.c
@@ -43,7 +43,7 @@
     Slow *s = ctx;
     GByteArray *body = uconn_response(s->conn)->body;
 
-    if (ev == UCONN_FLUSHED) {
+    if (ev == UCONN_FLUSHED || ev == UCONN_SENDING) {
         return;
     }
     s->received += body->len;
--- a/tests/test_uconn_reuse.c
+++ b/tests/test_uconn_reuse.c
@@ -142,7 +142,7 @@
     Attempt *a = ctx;
     (void)now_us;
 
-    if (ev != UCONN_BODY && ev != UCONN_FLUSHED) {
+    if (ev != UCONN_BODY && ev != UCONN_FLUSHED && ev != UCONN_SENDING) {
         a->end = ev;
         uconn_cancel(a->conn);
     }
