Let requests wait for missed changes before the copy is too old

What callers would see: requests at upstreams that left while a VM was cut off, for as long as the resync takes. Cause: since the copy counts as confirmed at the end of a watch without events, a cut of 4 s may end just before the copy is as old as the propagation time; that the VM lacks changes was reported only beyond it, and the resync takes up to half of that time. Change: missed changes are reported from half of the propagation time on.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -23,6 +23,9 @@
  * seconds has thousands to catch up with, so after an answer of this size it
  * watches again without a pause. */
 #define BEHIND_EVENTS 400
+/* Age of the copy, as a part of the propagation time, from which requests wait
+ * for changes that were missed: to find them takes the rest. */
+#define BEHIND_AGE 0.5
 /* Longest delay of the watch after gossip that showed missing revisions. */
 #define MISSING_WATCH_US 100000
 
@@ -193,13 +196,20 @@
     notify_current(f->m, now_us);
 }
 
+static int64_t
+copy_age_us(const Feed *f)
+{
+    return evl_boottime() - f->confirmed_us;
+}
+
 /* Handles an answer of the store which shows that changes were missed. */
 static void
 changes_missed(Feed *f, int64_t now_us)
 {
     Mirror *m = f->m;
 
-    if (f->listed && evl_boottime() - f->confirmed_us > m->o.propagation_us) {
+    if (f->listed &&
+        (double)copy_age_us(f) > (double)m->o.propagation_us * BEHIND_AGE) {
         m->o.fns.behind(m->o.ctx, now_us);
     }
 }
@@ -291,12 +301,6 @@
             CALL_TIMEOUT_US, on_list, f);
 }
 
-static int64_t
-copy_age_us(const Feed *f)
-{
-    return evl_boottime() - f->confirmed_us;
-}
-
 static void
 feed_pause(Feed *f, bool by_gossip, int64_t now_us)
 {
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -33,7 +33,7 @@
     /* The copy is as recent as the store's own answers. */
     void (*current)(void *ctx, int64_t now_us);
     /* The store answers again, and the copy lacks changes that are older than
-     * the propagation time; "current" follows when they are known. */
+     * half the propagation time; "current" follows when they are known. */
     void (*behind)(void *ctx, int64_t now_us);
     /* A call failed; the copy may be out of date. */
     void (*failed)(void *ctx, int64_t now_us);
