Send news before large gossip, pace its fragments, and show what is lost

Cause: a message that does not fit one datagram was sent to all VMs of a zone at once, in fragments. On a link of 10 Mbit/s most of them were dropped, nothing told the receivers, and these learned of all changes in the message, also of small ones, only by their own watch, up to 3.5 s after the change; all then read the large answer from the store at once. Change: small items of such a message are sent first, in datagrams of their own, and receivers apply them by the revision of their key although earlier revisions are missing. Fragments leave at half of the link's rate (setting link_mbps). A last datagram shows receivers that lack a fragment that they have to ask the store, which they do within 0.1 s. Up to 256 fragments and 2 MB, where longer messages made every VM read the store. Why it works: the news is one datagram that does not wait for others; a lost fragment costs a read at once and not a whole pause.

--- a/src/edge.c
+++ b/src/edge.c
@@ -340,10 +340,32 @@
     if (!edge_open_listeners(g, e)) {
         return false;
     }
-    g->peer = peer_new(g->loop, &g->set.peers, &fns, g, e);
+    g->peer = peer_new(g->loop, &g->set.peers, g->set.link_mbps, &fns, g, e);
     return g->peer != NULL;
 }
 
+static Sharers *
+make_sharers(const Edge *g)
+{
+    int64_t settle_us = MIN(g->set.drain_us, g->set.config_us);
+    SharersOpts so = {
+        .self = hash_str(str_of(g->set.vm_id), 0),
+        .settle_us = settle_us,
+        .hold_us = settle_us * SHARE_HOLD_CHANGES,
+    };
+
+    return sharers_new(&so);
+}
+
+/* Part of the drain time that is left for a change to be known. */
+static int64_t
+propagation_us(const Eset *s)
+{
+    int64_t way_us = MIN(WAY_US, s->drain_us / WAY_PART_MAX);
+
+    return MIN(s->drain_us - way_us, s->config_us);
+}
+
 static void
 make_modules(Edge *g)
 {
@@ -355,16 +377,8 @@
     g->rnd = g_rand_new_with_seed(
         (guint32)hash_str(str_of(g->set.vm_id), g->boot_ms));
     g->vms = vml_new(topo);
-    int64_t settle_us = MIN(g->set.drain_us, g->set.config_us);
-    g->propagation_us =
-        MIN(g->set.drain_us - MIN(WAY_US, g->set.drain_us / WAY_PART_MAX),
-            g->set.config_us);
-    SharersOpts so = {
-        .self = hash_str(str_of(g->set.vm_id), 0),
-        .settle_us = settle_us,
-        .hold_us = settle_us * SHARE_HOLD_CHANGES,
-    };
-    g->sharers = sharers_new(&so);
+    g->propagation_us = propagation_us(&g->set);
+    g->sharers = make_sharers(g);
     g->upstreams =
         ups_new(topo, MIN(GONE_GRACE_US, g->set.drain_us - GONE_MARGIN_US));
     g->pool = uconns_new(g->loop);
--- a/src/eset.c
+++ b/src/eset.c
@@ -135,6 +135,18 @@
     return ok;
 }
 
+static bool
+read_link(const Reader *r, Eset *s)
+{
+    char *t = read_text(r, "vm", "link_mbps");
+    bool given = t != NULL && t[0] != '\0';
+
+    g_free(t);
+    s->link_mbps = LINK_MBPS_DEFAULT;
+    return !given || read_number(r, "vm", "link_mbps", LINK_MBPS_MIN,
+                                 LINK_MBPS_MAX, &s->link_mbps);
+}
+
 static bool
 read_vm(const Reader *r, Eset *s)
 {
@@ -144,7 +156,7 @@
         !read_name(r, "vm", "zone", zone, sizeof(zone)) ||
         !read_count(r, "vm", "memory_mb", 32, 1 << 20, &s->memory_mb) ||
         !read_count(r, "vm", "descriptors", 256, 1 << 20, &s->descriptors) ||
-        !read_zones(r, &s->topology)) {
+        !read_link(r, s) || !read_zones(r, &s->topology)) {
         return false;
     }
     s->zone = topology_zone(&s->topology, str_of(zone));
--- a/src/eset.h
+++ b/src/eset.h
@@ -1,7 +1,8 @@
 /*
  * eset - settings of mimosa-edge, an INI file that is validated when read.
  *
- * [vm]      id, zone, memory_mb, descriptors
+ * [vm]      id, zone, memory_mb, descriptors, link_mbps (rate of its link,
+ *           100 if it is missing or empty)
  * [zones]   ZONE = REGION, one line per zone
  * [listen]  requests, ready, directory, peers, metrics ("IP:PORT" each)
  * [store]   address
@@ -27,6 +28,7 @@
     Topology topology;
     int memory_mb;
     int descriptors;
+    double link_mbps;
     char requests_text[ADDR_BYTES]; /* as the directory returns it */
     struct sockaddr_in requests;
     struct sockaddr_in ready;
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -31,6 +31,12 @@
  * and its processing. */
 #define WATCH_AGE 0.69
 #define WATCH_AGE_JITTER 0.08
+/* Before the watch after gossip that shows missing revisions: a spread over
+ * the VMs that lack them, or the time for the fragments of a large message to
+ * arrive. */
+#define PAUSE_MISSING_US 100000
+#define PAUSE_FRAGMENTS 0.25
+#define PAUSE_FRAGMENTS_JITTER 0.05
 /* An answer is forwarded if its call took no longer than the wait plus this
  * share. */
 #define AGE_SHARE 0.12
@@ -267,6 +273,16 @@
                  gossip_pause_us(propagation_us, true, sample));
 }
 
+int64_t
+gossip_missing_pause_us(int64_t propagation_us, bool rest_follows,
+                        double sample)
+{
+    return rest_follows
+               ? share_of(propagation_us,
+                          PAUSE_FRAGMENTS + PAUSE_FRAGMENTS_JITTER * sample)
+               : (int64_t)(PAUSE_MISSING_US * sample);
+}
+
 int64_t
 gossip_wait_us(int64_t propagation_us, int64_t copy_age_us)
 {
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -19,7 +19,8 @@
 #include "kv.h"
 
 #define GOSSIP_BYTES_MAX 1200 /* fits one packet on common links */
-#define GOSSIP_LARGE_BYTES_MAX (512 * 1024) /* gossip in several datagrams */
+#define GOSSIP_LARGE_BYTES_MAX                                                \
+    (2 * 1024 * 1024) /* gossip in several datagrams */
 
 /* A received message: all events after revision "from", up to
  * page.rev.  If both are the same and there are no items, nothing has changed
@@ -94,6 +95,12 @@
 int64_t gossip_deferral_us(int64_t propagation_us, int64_t copy_age_us,
                            double sample);
 
+/* Returns the pause before a watch after a message that shows missing
+ * revisions.  rest_follows: it has the first items of a message whose other
+ * datagrams are on their way. */
+int64_t gossip_missing_pause_us(int64_t propagation_us, bool rest_follows,
+                                double sample);
+
 /* Returns how long the store may wait for an event, so that its answer is due
  * before the copy is as old as the propagation time; 0 if it may not. */
 int64_t gossip_wait_us(int64_t propagation_us, int64_t copy_age_us);
--- a/src/gossipfrag.c
+++ b/src/gossipfrag.c
@@ -23,7 +23,8 @@
 
 typedef struct Message {
     Head head;
-    uint64_t have; /* bit set of the fragments received */
+    uint64_t have[GOSSIPFRAG_MAX / 64]; /* bit set of the fragments received */
+    u_int n_have;
     uint8_t *data;
     uint32_t used; /* sequence number of the last fragment, for eviction */
 } Message;
@@ -111,12 +112,6 @@
     g_free(s);
 }
 
-static uint64_t
-all_fragments(u_int count)
-{
-    return count == GOSSIPFRAG_MAX ? UINT64_MAX : (UINT64_C(1) << count) - 1;
-}
-
 int64_t
 gossipfrag_incomplete(const GossipFrag *s)
 {
@@ -145,8 +140,7 @@
             oldest = c;
         }
     }
-    if (oldest->data != NULL &&
-        oldest->have != all_fragments(oldest->head.count)) {
+    if (oldest->data != NULL && oldest->n_have < oldest->head.count) {
         s->incomplete++;
     }
     g_free(oldest->data);
@@ -193,12 +187,12 @@
     Message *c = find_message(s, &h);
     c->used = ++s->sequence;
     memcpy(c->data + h.index * FRAG_BYTES, p + HEAD_SIZE, n - HEAD_SIZE);
-    uint64_t all = all_fragments(h.count);
-    if ((c->have & all) == all) {
+    uint64_t bit = UINT64_C(1) << h.index % 64;
+    if ((c->have[h.index / 64] & bit) != 0) {
         return GOSSIPFRAG_MORE;
     }
-    c->have |= UINT64_C(1) << h.index;
-    if (c->have != all) {
+    c->have[h.index / 64] |= bit;
+    if (++c->n_have < h.count) {
         return GOSSIPFRAG_MORE;
     }
     return decompress(c, w) ? GOSSIPFRAG_COMPLETE : GOSSIPFRAG_BAD;
--- a/src/gossipfrag.h
+++ b/src/gossipfrag.h
@@ -5,8 +5,7 @@
  * Such messages arise when hundreds of upstreams start, shut down or drain at
  * once, and from configurations with many routes.  Without fragments each of
  * the dozens of VMs of a zone would ask the store.  A receiver that misses a
- * fragment cannot use the message and watches the store itself when its pause
- * ends.
+ * fragment cannot use the message.
  */
 #ifndef MIMOSA_GOSSIPFRAG_H
 #define MIMOSA_GOSSIPFRAG_H
@@ -19,7 +18,7 @@
 
 #include "gossip.h"
 
-#define GOSSIPFRAG_MAX 64 /* fragments of one message */
+#define GOSSIPFRAG_MAX 256 /* fragments of one message */
 
 /* Splits a message.  id: distinguishes it from all other messages that nearby
  * VMs receive.  Returns an array of GBytes, one for each datagram, or NULL if
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "hash.h"
-#include "gossipfrag.h"
+#include "gossipsend.h"
 
 #define FANOUT_NEAR 4 /* VMs of the own region per heartbeat */
 #define FANOUT_FAR 2  /* VMs of other regions per heartbeat */
@@ -215,12 +215,6 @@
     }
 }
 
-static void
-unref_bytes(gpointer p)
-{
-    g_bytes_unref(p);
-}
-
 static int
 count_region_vms(const Heartbeats *b)
 {
@@ -232,46 +226,46 @@
     return n;
 }
 
-/* Returns the datagrams of a message: one if it fits, else fragments; if it is
- * too large for these, one that says that revisions are missing. */
-static GPtrArray *
-encode_datagrams(Heartbeats *b, const GossipOut *o)
+static void
+send_datagrams(Heartbeats *b, const Vm *v, const GossipDatagrams *d,
+               bool pace_all)
 {
-    uint64_t id = hash_mix(b->o.boot_ms ^ o->to, ++b->messages);
-    GPtrArray *out = NULL;
-    char buf[GOSSIP_BYTES_MAX];
-
-    if (!gossip_fits(o)) {
-        out =
-            gossipfrag_split(o, hash_mix(id, hash_str(str_of(b->o.vm_id), 0)));
-    }
-    if (out == NULL) {
-        out = g_ptr_array_new_with_free_func(unref_bytes);
-        size_t n = gossip_encode(o, buf, sizeof(buf));
-        g_ptr_array_add(out, g_bytes_new(buf, n));
+    for (guint i = 0; i < d->urgent->len + d->paced->len; i++) {
+        bool paced = pace_all || i >= d->urgent->len;
+        GBytes *datagram =
+            i < d->urgent->len
+                ? g_ptr_array_index(d->urgent, i)
+                : g_ptr_array_index(d->paced, i - d->urgent->len);
+        if (paced) {
+            peer_send_paced(b->o.peer, &v->peer, datagram);
+        }
+        else {
+            gsize n;
+            const char *data = g_bytes_get_data(datagram, &n);
+            peer_send(b->o.peer, &v->peer, data, n);
+        }
+        b->gossip_sent++;
     }
-    return out;
 }
 
 void
 heartbeat_send_gossip(Heartbeats *b, const GossipOut *o)
 {
-    GPtrArray *list = encode_datagrams(b, o);
+    uint64_t id = hash_mix(b->o.boot_ms ^ o->to, ++b->messages);
+    GossipDatagrams d =
+        gossipsend_datagrams(o, hash_mix(id, hash_str(str_of(b->o.vm_id), 0)));
     bool whole_region = count_region_vms(b) <= GOSSIP_REGION_VMS;
+    /* A message without news must not overtake a large one, which receivers
+     * would miss and ask the store for. */
+    bool pace_all = o->n == 0 && peer_is_pacing(b->o.peer);
 
     for (int i = 0; i < vml_count(b->o.vms); i++) {
         const Vm *v = vml_at(b->o.vms, i);
         bool near =
             whole_region ? v->region == b->o.region : v->zone == b->o.zone;
-        if (!near || is_self(b, v)) {
-            continue;
-        }
-        for (guint k = 0; k < list->len; k++) {
-            gsize n;
-            const char *p = g_bytes_get_data(g_ptr_array_index(list, k), &n);
-            peer_send(b->o.peer, &v->peer, p, n);
-            b->gossip_sent++;
+        if (near && !is_self(b, v)) {
+            send_datagrams(b, v, &d, pace_all);
         }
     }
-    g_ptr_array_free(list, TRUE);
+    gossipsend_clear(&d);
 }
--- a/src/kvcache.c
+++ b/src/kvcache.c
@@ -168,6 +168,18 @@
     kvcache_set_rev(k, MAX(k->rev, p->rev));
 }
 
+void
+kvcache_apply_early(KvCache *k, const KvPage *p, int64_t now_us)
+{
+    for (guint i = 0; i < p->items->len; i++) {
+        const KvItem *item = &g_array_index(p->items, KvItem, i);
+        const Entry *e = g_hash_table_lookup(k->entries, item->key);
+        if (item->rev > k->rev && (e == NULL || item->rev > e->rev)) {
+            apply(k, item, now_us);
+        }
+    }
+}
+
 void
 kvcache_keep_removed(KvCache *k, bool keep)
 {
--- a/src/kvcache.h
+++ b/src/kvcache.h
@@ -52,6 +52,11 @@
 void kvcache_apply_events(KvCache *k, const KvPage *p, GPtrArray *following,
                           int64_t now_us);
 
+/* Applies events that are newer than the cached state of their key, although
+ * others before them are missing.  kvcache_rev() stays, so that the whole
+ * events may follow. */
+void kvcache_apply_early(KvCache *k, const KvPage *p, int64_t now_us);
+
 /* While keep is true, all tombstones of removed keys are kept, since a list
  * that is older than a removal would add the key again.  Otherwise those are
  * kept whose removal kvcache_rev() has not reached. */
--- a/src/limits.h
+++ b/src/limits.h
@@ -47,6 +47,9 @@
 #define CONFIG_BODY_BYTES_MAX (1024 * 1024 * 1024)
 
 /* Fleet. */
+#define LINK_MBPS_DEFAULT 100.0 /* rate of a VM's link if not set */
+#define LINK_MBPS_MIN 0.1
+#define LINK_MBPS_MAX 1e6
 #define VMS_PER_ZONE_MAX 64
 #define VMS_MAX 512
 #define KEY_RANGES 64 /* ranges of idempotency keys in a zone */
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -26,8 +26,6 @@
 /* Age of the copy, as a part of the propagation time, from which requests wait
  * for changes that were missed: to find them takes the rest. */
 #define BEHIND_AGE 0.5
-/* Longest delay of the watch after gossip that showed missing revisions. */
-#define MISSING_WATCH_US 100000
 
 /* The copy of the keys with one prefix, and the calls that keep it current. */
 typedef struct Feed {
@@ -44,9 +42,10 @@
     char *after;     /* last key of the previous page */
     bool relist;     /* list again: keys missing or events unreadable */
     bool pausing;    /* the timer runs for the next watch */
-    bool missed;     /* gossip showed missing revisions.  Other VMs then watch
-                        too, so the events of the next watch are not
-                        forwarded. */
+    uint64_t missed_rev; /* the last of the missing revisions */
+    bool missed; /* gossip showed missing revisions.  Other VMs then watch
+                    too, so the events of the next watch are not
+                    forwarded. */
     int64_t list_start_us;  /* start of the list under way; boot time */
     int64_t watch_start_us; /* start of the watch; boot time */
     int64_t watch_wait_us;  /* for which the store waits for events */
@@ -365,6 +364,36 @@
     g_ptr_array_free(forward, TRUE);
 }
 
+/* Applies the items of a message before which revisions are missing, and
+ * watches soon.  The message may be the first part of a large one. */
+static void
+revisions_missed(Feed *f, const Gossip *w, int64_t now_us)
+{
+    Mirror *m = f->m;
+    int64_t due_us = now_us + gossip_missing_pause_us(m->o.propagation_us,
+                                                      w->page.items->len > 0,
+                                                      g_rand_double(m->o.rnd));
+
+    m->missing++;
+    kvcache_apply_early(f->cache, &w->page, now_us);
+    if (!f->pausing) {
+        return;
+    }
+    if (!f->missed) {
+        dlog_event(m->o.log, DLOG_INFO, "store",
+                   "event=gossip_missing prefix=%s rev=%" G_GUINT64_FORMAT
+                   " from=%" G_GUINT64_FORMAT " to=%" G_GUINT64_FORMAT
+                   " items=%u copy_age_ms=%" G_GINT64_FORMAT,
+                   f->prefix, kvcache_rev(f->cache), w->from, w->page.rev,
+                   w->page.items->len, copy_age_us(f) / 1000);
+    }
+    f->missed = true;
+    f->missed_rev = MAX(f->missed_rev, w->page.rev);
+    if (due_us < f->timer.at_us) {
+        evl_arm(m->o.loop, &f->timer, due_us);
+    }
+}
+
 void
 mirror_receive(Mirror *m, const Gossip *w, int64_t now_us)
 {
@@ -380,6 +409,7 @@
         break;
     case GOSSIP_NEXT:
         kvcache_apply_events(f->cache, &w->page, NULL, now_us);
+        f->missed = f->missed && kvcache_rev(f->cache) < f->missed_rev;
         /* The message may have waited in the socket of this VM. */
         set_confirmed(f, evl_since(m->o.loop) - w->age_us);
         /* A VM whose calls the store refuses stays current by gossip. */
@@ -389,18 +419,7 @@
         }
         break;
     case GOSSIP_MISSING:
-        m->missing++;
-        if (f->pausing && !f->missed) {
-            f->missed = true;
-            dlog_event(m->o.log, DLOG_INFO, "store",
-                       "event=gossip_missing prefix=%s rev=%" G_GUINT64_FORMAT
-                       " from=%" G_GUINT64_FORMAT " to=%" G_GUINT64_FORMAT
-                       " copy_age_ms=%" G_GINT64_FORMAT,
-                       f->prefix, kvcache_rev(f->cache), w->from, w->page.rev,
-                       copy_age_us(f) / 1000);
-            evl_arm(m->o.loop, &f->timer,
-                    now_us + g_rand_int_range(m->o.rnd, 0, MISSING_WATCH_US));
-        }
+        revisions_missed(f, w, now_us);
         break;
     }
 }
--- a/src/peer.c
+++ b/src/peer.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "gossipfrag.h"
+#include "gossipsend.h"
 
 #define MAGIC 0x6d696d32U     /* "mim2": format version 2 */
 #define DATAGRAMS_PER_TURN 64 /* read before other events are handled */
@@ -20,6 +21,8 @@
     PeerFns fns;
     void *ctx;
     GossipFrag *fragments;
+    Pacer *pacer;
+    EvlTimer pace; /* while the pacer is not empty */
     int64_t unreadable;
     int64_t unsent;
 };
@@ -230,9 +233,28 @@
     }
 }
 
+static void
+send_datagram(void *ctx, const void *to, GBytes *datagram)
+{
+    gsize n;
+    const char *data = g_bytes_get_data(datagram, &n);
+
+    peer_send(ctx, to, data, n);
+}
+
+static void
+on_pace(void *ctx, int64_t now_us)
+{
+    Peer *p = ctx;
+
+    if (pacer_step(p->pacer, now_us)) {
+        evl_arm(p->loop, &p->pace, now_us + GOSSIPSEND_STEP_US);
+    }
+}
+
 Peer *
-peer_new(Evl *loop, const struct sockaddr_in *at, const PeerFns *fns,
-         void *ctx, Err *e)
+peer_new(Evl *loop, const struct sockaddr_in *at, double link_mbps,
+         const PeerFns *fns, void *ctx, Err *e)
 {
     int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -251,6 +273,8 @@
     p->fns = *fns;
     p->ctx = ctx;
     p->fragments = gossipfrag_new();
+    p->pacer = pacer_new(link_mbps, send_datagram, p);
+    p->pace = (EvlTimer){.fn = on_pace, .ctx = p};
     p->ev = (EvlFd){.fd = fd, .first = true, .fn = on_datagram, .ctx = p};
     evl_add(loop, &p->ev, EPOLLIN);
     return p;
@@ -262,6 +286,8 @@
     evl_del(p->loop, &p->ev);
     close(p->ev.fd);
     gossipfrag_free(p->fragments);
+    evl_disarm(p->loop, &p->pace);
+    pacer_free(p->pacer);
     g_free(p);
 }
 
@@ -275,6 +301,23 @@
     }
 }
 
+void
+peer_send_paced(Peer *p, const struct sockaddr_in *to, GBytes *datagram)
+{
+    if (!pacer_add(p->pacer, to, sizeof(*to), datagram)) {
+        p->unsent++;
+    }
+    else if (p->pace.heap_index == 0) {
+        evl_arm(p->loop, &p->pace, evl_now(p->loop));
+    }
+}
+
+bool
+peer_is_pacing(const Peer *p)
+{
+    return !pacer_is_empty(p->pacer);
+}
+
 int64_t
 peer_unsent(const Peer *p)
 {
--- a/src/peer.h
+++ b/src/peer.h
@@ -69,16 +69,23 @@
 
 typedef struct Peer Peer;
 
-/* Errors: ERR_IO when the address cannot be bound. */
-Peer *peer_new(Evl *loop, const struct sockaddr_in *at, const PeerFns *fns,
-               void *ctx, Err *e);
+/* link_mbps: rate of this VM's link.  Errors: ERR_IO when the address cannot
+ * be bound. */
+Peer *peer_new(Evl *loop, const struct sockaddr_in *at, double link_mbps,
+               const PeerFns *fns, void *ctx, Err *e);
 void peer_free(Peer *p);
 void peer_send(Peer *p, const struct sockaddr_in *to, const char *data,
                size_t n);
+/* Sends datagrams of large messages, in order, at a part of the link's rate.
+ */
+void peer_send_paced(Peer *p, const struct sockaddr_in *to, GBytes *datagram);
+/* True while such datagrams wait. */
+bool peer_is_pacing(const Peer *p);
 
 /* Number of datagrams received that could not be decoded. */
 int64_t peer_unreadable(const Peer *p);
-/* Number of datagrams that the kernel did not accept. */
+/* Number of datagrams that were dropped here, or not accepted by the kernel.
+ */
 int64_t peer_unsent(const Peer *p);
 /* Number of gossip messages of which fragments are missing for good. */
 int64_t peer_incomplete(const Peer *p);
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -20,6 +20,8 @@
 #define ENDLESS_BYTES (12 * 1024 * 1024) /* kv reads at most 7 MB */
 #define PROPAGATION_US 2000000 /* longest time for a change to arrive */
 #define CALLS_MAX 16
+#define NEWS_AFTER_CALLS 3
+#define NEWS_US 50000 /* less than the pause between watches */
 #define CONNS_MAX 8
 
 typedef struct Answer {
@@ -39,6 +41,10 @@
     uint64_t gossip_rev; /* the gossip continues from this revision; 0: none
                             is sent */
     int64_t gossip_age_us;
+    const char *news;  /* key that a message says is removed, sent after the
+                          first call once the mirror is ready; NULL: none */
+    int64_t gossip_us; /* when the gossip was received */
+    char at_gossip[256];
     int n_calls_at_gossip; /* calls made when the gossip was received */
     char calls[CALLS_MAX][128];
     int n_calls;
@@ -84,6 +90,8 @@
     return NULL;
 }
 
+static void on_news_timer(void *ctx, int64_t now_us);
+
 static void
 on_request(void *ctx, StubConn *c)
 {
@@ -99,6 +107,11 @@
              c->req.target.p);
     s->call_us[s->n_calls++] = evl_boottime();
     const Answer *a = find_answer(s, call);
+    if (s->news != NULL && s->n_calls == NEWS_AFTER_CALLS) {
+        /* During the pause after this call. */
+        s->gossip = (EvlTimer){.fn = on_news_timer, .ctx = s};
+        evl_arm(s->loop, &s->gossip, evl_now(s->loop) + NEWS_US);
+    }
     if (a != NULL) { /* other calls stay open, e.g. watches */
         stub_respond(c, a->status, a->body);
     }
@@ -170,6 +183,23 @@
     s->n_behind++;
 }
 
+static void
+on_news_timer(void *ctx, int64_t now_us)
+{
+    Store *s = ctx;
+    Gossip w = {.from = s->gossip_rev, .page = {.rev = s->gossip_rev}};
+    KvItem removed = {
+        .key = g_strdup(s->news), .rev = s->gossip_rev, .deleted = true};
+
+    w.page.items = g_array_new(FALSE, TRUE, sizeof(KvItem));
+    g_array_append_val(w.page.items, removed);
+    mirror_receive(s->mirror, &w, now_us);
+    kv_page_clear(&w.page);
+    s->n_calls_at_gossip = s->n_calls;
+    s->gossip_us = evl_boottime();
+    write_keys(s, s->at_gossip, sizeof(s->at_gossip));
+}
+
 static void
 on_gossip_timer(void *ctx, int64_t now_us)
 {
@@ -189,7 +219,7 @@
 {
     Store *s = ctx;
 
-    if (s->gossip_rev != 0 && s->n_calls_at_gossip == 0) {
+    if (s->gossip_rev != 0 && s->news == NULL && s->n_calls_at_gossip == 0) {
         s->gossip = (EvlTimer){.fn = on_gossip_timer, .ctx = s};
         evl_arm(s->loop, &s->gossip, now_us + 1000);
     }
@@ -215,19 +245,15 @@
 }
 
 /* Runs a mirror against the script.  after_us: how long to run after the
- * mirror is ready; gossip_rev and gossip_age_us: see Store. */
+ * mirror is ready. */
 static void
-run_with_gossip(Store *s, const Answer *script, int64_t after_us,
-                uint64_t gossip_rev, int64_t gossip_age_us)
+run_store(Store *s, const Answer *script, int64_t after_us)
 {
     DlogOpts lo = {STDERR_FILENO, 100, 65536};
 
-    memset(s, 0, sizeof(*s));
     s->loop = evl_new();
     s->script = script;
     s->after_us = after_us;
-    s->gossip_rev = gossip_rev;
-    s->gossip_age_us = gossip_age_us;
     s->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     stub_open(&s->stub, s->loop, on_request, s);
     MirrorOpts o = {
@@ -267,10 +293,34 @@
     }
 }
 
-static void
+/* The same with gossip; gossip_rev and gossip_age_us: see Store. */
+static inline void
+run_with_gossip(Store *s, const Answer *script, int64_t after_us,
+                uint64_t gossip_rev, int64_t gossip_age_us)
+{
+    memset(s, 0, sizeof(*s));
+    s->gossip_rev = gossip_rev;
+    s->gossip_age_us = gossip_age_us;
+    run_store(s, script, after_us);
+}
+
+/* The same with a message that says that the key was removed at revision rev,
+ * and that revisions before it are missing. */
+static inline void
+run_with_news(Store *s, const Answer *script, int64_t after_us,
+              const char *key, uint64_t rev)
+{
+    memset(s, 0, sizeof(*s));
+    s->news = key;
+    s->gossip_rev = rev;
+    run_store(s, script, after_us);
+}
+
+static inline void
 run(Store *s, const Answer *script, int64_t after_us)
 {
-    run_with_gossip(s, script, after_us, 0, 0);
+    memset(s, 0, sizeof(*s));
+    run_store(s, script, after_us);
 }
 
 #define ITEM(key, rev)                                                        \
--- a/tests/platform_large_gossip.sh
+++ b/tests/platform_large_gossip.sh
@@ -28,11 +28,15 @@
 sleep 1
 
 # Guards against the news of a target that is lost with one of the fragments in
-# which a configuration is sent.
-together=$(grep -c 'fragments=1 .*servers/u-2' "$dir/peer")
-[ "$(grep -c 'fragments=1 .*op/config' "$dir/peer")" -gt 0 ] ||
-    check large_messages 0 "over 0"
-check news_in_fragments_only "$together" 0
-[ "$(grep -c 'fragments=0 .*servers/u-2' "$dir/peer")" -gt 3 ] ||
-    check news "$(grep -c 'fragments=0 .*servers/u-2' "$dir/peer")" "over 3"
+# which a configuration is sent: the news comes first, in a datagram of its own.
+awk '
+    / fragments=1 .*servers\/u-2/ {
+        n++
+        if (!(($2, "news") in seen)) alone++
+    }
+    / fragments=0 .*servers\/u-2/ { seen[$2, "news"] = 1 }
+    END { print n + 0, alone + 0 }' "$dir/peer" >"$dir/counts"
+read -r together in_fragments_only <"$dir/counts"
+[ "$together" -gt 0 ] || check large_messages "$together" "over 0"
+check news_in_fragments_only "$in_fragments_only" 0
 finish
--- /dev/null
+++ b/tests/test_gossipsend.c
@@ -0,0 +1,226 @@
+/* Tests of gossipsend: datagrams of a message, and their rate. */
+#include "t.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "gossipfrag.h"
+#include "gossipsend.h"
+
+#define ITEMS_MAX 400
+#define SMALL_BYTES 200
+#define LARGE_BYTES 40000
+#define FROM 100
+#define LINK_MBPS 10.0
+#define BYTES_PER_S (LINK_MBPS * 125000)
+
+typedef struct Changes {
+    KvItem items[ITEMS_MAX];
+    const KvItem *list[ITEMS_MAX];
+    int n;
+} Changes;
+
+static void
+add(Changes *f, size_t bytes)
+{
+    KvItem *it = &f->items[f->n];
+    uint64_t rev = FROM + 1 + (uint64_t)f->n;
+    guint8 *value = g_malloc(bytes);
+    GRand *rnd = g_rand_new_with_seed((guint32)rev);
+
+    for (size_t i = 0; i < bytes; i++) { /* does not compress */
+        value[i] = (guint8)g_rand_int(rnd);
+    }
+    g_rand_free(rnd);
+    *it = (KvItem){.key = g_strdup_printf("k-%" G_GUINT64_FORMAT, rev),
+                   .value = g_bytes_new_take(value, bytes),
+                   .rev = rev};
+    f->list[f->n++] = it;
+}
+
+static void
+clear(Changes *f)
+{
+    for (int i = 0; i < f->n; i++) {
+        g_free(f->items[i].key);
+        g_bytes_unref(f->items[i].value);
+    }
+}
+
+static GossipDatagrams
+datagrams(const Changes *f)
+{
+    GossipOut o = {0, FROM, FROM + (uint64_t)f->n, f->list, f->n, 0};
+
+    return gossipsend_datagrams(&o, 1);
+}
+
+/* Decodes a datagram that is a whole message. */
+static Gossip
+whole(const GPtrArray *list, guint i)
+{
+    Gossip w;
+    gsize n;
+    const char *p = g_bytes_get_data(g_ptr_array_index(list, i), &n);
+
+    ck_assert(gossip_is(p, n));
+    ck_assert(gossip_decode(&w, p, n, NULL));
+    return w;
+}
+
+/* Guards against the news of an upstream that leaves, which is lost with a
+ * fragment of a configuration. */
+START_TEST(small_items_are_sent_before_the_fragments_of_large_ones)
+{
+    Changes f = {.n = 0};
+
+    add(&f, SMALL_BYTES);
+    add(&f, LARGE_BYTES);
+    add(&f, SMALL_BYTES);
+    GossipDatagrams d = datagrams(&f);
+    ck_assert_uint_eq(d.urgent->len, 1);
+    Gossip w = whole(d.urgent, 0);
+    ck_assert_uint_eq(w.page.items->len, 2);
+    ck_assert_str_eq(g_array_index(w.page.items, KvItem, 0).key, "k-101");
+    ck_assert_str_eq(g_array_index(w.page.items, KvItem, 1).key, "k-103");
+    /* It must not count as all changes up to its revision. */
+    ck_assert_int_eq(gossip_order(FROM, w.from, w.page.rev), GOSSIP_MISSING);
+    kv_page_clear(&w.page);
+    gossipsend_clear(&d);
+    clear(&f);
+}
+END_TEST
+
+/* Guards against receivers that lack a fragment and do not learn of it. */
+START_TEST(the_last_datagram_shows_what_is_missing)
+{
+    Changes f = {.n = 0};
+
+    add(&f, LARGE_BYTES);
+    GossipDatagrams d = datagrams(&f);
+    ck_assert_uint_eq(d.urgent->len, 0);
+    ck_assert_uint_gt(d.paced->len, LARGE_BYTES / GOSSIP_BYTES_MAX);
+    Gossip w = whole(d.paced, d.paced->len - 1);
+    ck_assert_uint_eq(w.page.items->len, 0);
+    ck_assert_int_eq(gossip_order(FROM, w.from, w.page.rev), GOSSIP_MISSING);
+    ck_assert_int_eq(gossip_order(FROM + 1, w.from, w.page.rev), GOSSIP_NEXT);
+    kv_page_clear(&w.page);
+    gossipsend_clear(&d);
+    clear(&f);
+}
+END_TEST
+
+/* Guards against many datagrams before the fragments of a message. */
+START_TEST(few_datagrams_precede_the_fragments)
+{
+    Changes f = {.n = 0};
+
+    for (int i = 0; i < ITEMS_MAX - 1; i++) {
+        add(&f, SMALL_BYTES);
+    }
+    GossipDatagrams d = datagrams(&f);
+    ck_assert_uint_eq(d.urgent->len, 0);
+    gossipsend_clear(&d);
+    add(&f, LARGE_BYTES);
+    d = datagrams(&f);
+    ck_assert_uint_eq(d.urgent->len, 4);
+    gossipsend_clear(&d);
+    clear(&f);
+}
+END_TEST
+
+START_TEST(a_message_that_fits_is_one_urgent_datagram)
+{
+    Changes f = {.n = 0};
+
+    add(&f, SMALL_BYTES);
+    GossipDatagrams d = datagrams(&f);
+    ck_assert_uint_eq(d.urgent->len, 1);
+    ck_assert_uint_eq(d.paced->len, 0);
+    Gossip w = whole(d.urgent, 0);
+    ck_assert_int_eq(gossip_order(FROM, w.from, w.page.rev), GOSSIP_NEXT);
+    kv_page_clear(&w.page);
+    gossipsend_clear(&d);
+    clear(&f);
+}
+END_TEST
+
+typedef struct Sent {
+    int n;
+    int last_to;
+    size_t bytes;
+} Sent;
+
+static void
+on_send(void *ctx, const void *to, GBytes *datagram)
+{
+    Sent *s = ctx;
+    const int *receiver = to;
+
+    ck_assert_int_ge(*receiver, s->last_to);
+    s->last_to = *receiver;
+    s->n++;
+    s->bytes += g_bytes_get_size(datagram);
+}
+
+/* Guards against fragments that overflow the queue of a slow link, which drops
+ * them and delays requests. */
+START_TEST(fragments_leave_half_of_the_link_free)
+{
+    Sent sent = {0, 0, 0};
+    Pacer *p = pacer_new(LINK_MBPS, on_send, &sent);
+    GBytes *datagram =
+        g_bytes_new_take(g_malloc0(GOSSIP_BYTES_MAX), GOSSIP_BYTES_MAX);
+    int64_t now_us = 1000000;
+    size_t peak = 0;
+
+    for (int to = 0; to < 12; to++) {
+        for (int i = 0; i < 40; i++) {
+            ck_assert(pacer_add(p, &to, sizeof(to), datagram));
+        }
+    }
+    while (pacer_step(p, now_us)) {
+        size_t before = sent.bytes;
+        now_us += 4 * GOSSIPSEND_STEP_US; /* a late timer */
+        pacer_step(p, now_us);
+        peak = MAX(peak, sent.bytes - before);
+        now_us += GOSSIPSEND_STEP_US;
+    }
+    ck_assert_int_eq(sent.n, 12 * 40);
+    ck_assert(pacer_is_empty(p));
+    double seconds = (double)(now_us - 1000000) / 1e6;
+    ck_assert_double_ge(seconds, (double)sent.bytes / BYTES_PER_S);
+    ck_assert_double_le(seconds, 2.5 * (double)sent.bytes / BYTES_PER_S);
+    /* At most 20 ms of the link at once. */
+    ck_assert_double_le((double)peak, BYTES_PER_S * 0.02);
+    g_bytes_unref(datagram);
+    pacer_free(p);
+}
+END_TEST
+
+/* Guards against memory that grows without limit when messages come faster
+ * than they are sent. */
+START_TEST(datagrams_that_wait_are_limited)
+{
+    Sent sent = {0, 0, 0};
+    Pacer *p = pacer_new(0.1, on_send, &sent);
+    GBytes *datagram =
+        g_bytes_new_take(g_malloc0(GOSSIP_BYTES_MAX), GOSSIP_BYTES_MAX);
+    int to = 1;
+    int n = 0;
+
+    while (n < 100000 && pacer_add(p, &to, sizeof(to), datagram)) {
+        n++;
+    }
+    ck_assert_int_lt(n, 20000);
+    g_bytes_unref(datagram);
+    pacer_free(p);
+}
+END_TEST
+
+T_MAIN("gossipsend", small_items_are_sent_before_the_fragments_of_large_ones,
+       the_last_datagram_shows_what_is_missing,
+       few_datagrams_precede_the_fragments,
+       a_message_that_fits_is_one_urgent_datagram,
+       fragments_leave_half_of_the_link_free, datagrams_that_wait_are_limited)
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -331,6 +331,31 @@
 }
 END_TEST
 
+/* Guards against news that waits for the revisions before it, and against a
+ * message that counts as complete without them. */
+START_TEST(news_is_applied_before_the_revisions_that_are_missing)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, EVENTS("", "9")},
+        {"after=9&", 200,
+         EVENTS(ITEM("op/config", "11") "," REMOVED("servers/b", "12"), "12")},
+        {NULL, 0, NULL},
+    };
+
+    run_with_news(&s, script, PROPAGATION_US, "servers/b", 12);
+    ck_assert_str_eq(s.at_gossip, "servers/a ");
+    ck_assert_str_eq(s.at_end, "op/config servers/a ");
+    /* The other datagrams of the message have some time to arrive. */
+    int next = s.n_calls_at_gossip;
+    ck_assert_int_gt(s.n_calls, next);
+    ck_assert_int_ge(s.call_us[next] - s.gossip_us, PROPAGATION_US / 5);
+    ck_assert_int_le(s.call_us[next] - s.gossip_us,
+                     PROPAGATION_US * 3 / 10 + LATE_US);
+}
+END_TEST
+
 /* Guards against a late recovery: after a failed call, a watch that waits for
  * events shows only when it ends that the store is reachable again. */
 START_TEST(watch_after_failure_does_not_wait)
@@ -361,4 +386,5 @@
        old_gossip_defers_the_watch_by_what_is_left,
        an_answer_with_events_confirms_the_start_of_its_watch,
        a_copy_that_lacks_changes_is_not_confirmed,
+       news_is_applied_before_the_revisions_that_are_missing,
        watch_after_failure_does_not_wait)
