Do not watch again and again while a resync lacks changes

Cause: a copy that lacks what a resync has to find stays old, so that each gossip message deferred the next watch by nothing; a message from another VM that overtook paced fragments made each VM watch within 0.1 s; missed changes were reported from half of the propagation time on. A watch without events confirmed the end of its wait also when it was cut short, which may lie in the future. Change: watches are deferred by the age of what watches bring; the watch after gossip that shows missing revisions follows after 0.15 to 0.30 of the propagation time; missed changes are reported beyond it, as before.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -31,12 +31,11 @@
  * and its processing. */
 #define WATCH_AGE 0.69
 #define WATCH_AGE_JITTER 0.08
-/* Before the watch after gossip that shows missing revisions: a spread over
- * the VMs that lack them, or the time for the fragments of a large message to
- * arrive. */
-#define PAUSE_MISSING_US 100000
-#define PAUSE_FRAGMENTS 0.25
-#define PAUSE_FRAGMENTS_JITTER 0.05
+/* Before the watch after gossip that shows missing revisions: the fragments of
+ * a large message take some time, and the first VM to watch forwards what the
+ * others lack. */
+#define PAUSE_MISSING 0.15
+#define PAUSE_MISSING_JITTER 0.15
 /* An answer is forwarded if its call took no longer than the wait plus this
  * share. */
 #define AGE_SHARE 0.12
@@ -274,13 +273,10 @@
 }
 
 int64_t
-gossip_missing_pause_us(int64_t propagation_us, bool rest_follows,
-                        double sample)
+gossip_missing_pause_us(int64_t propagation_us, double sample)
 {
-    return rest_follows
-               ? share_of(propagation_us,
-                          PAUSE_FRAGMENTS + PAUSE_FRAGMENTS_JITTER * sample)
-               : (int64_t)(PAUSE_MISSING_US * sample);
+    return share_of(propagation_us,
+                    PAUSE_MISSING + PAUSE_MISSING_JITTER * sample);
 }
 
 int64_t
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -96,10 +96,8 @@
                            double sample);
 
 /* Returns the pause before a watch after a message that shows missing
- * revisions.  rest_follows: it has the first items of a message whose other
- * datagrams are on their way. */
-int64_t gossip_missing_pause_us(int64_t propagation_us, bool rest_follows,
-                                double sample);
+ * revisions, which may be on their way. */
+int64_t gossip_missing_pause_us(int64_t propagation_us, double sample);
 
 /* Returns how long the store may wait for an event, so that its answer is due
  * before the copy is as old as the propagation time; 0 if it may not. */
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -23,9 +23,6 @@
  * seconds has thousands to catch up with, so after an answer of this size it
  * watches again without a pause. */
 #define BEHIND_EVENTS 400
-/* Age of the copy, as a part of the propagation time, from which requests wait
- * for changes that were missed: to find them takes the rest. */
-#define BEHIND_AGE 0.5
 
 /* The copy of the keys with one prefix, and the calls that keep it current. */
 typedef struct Feed {
@@ -201,14 +198,21 @@
     return evl_boottime() - f->confirmed_us;
 }
 
+/* Age of what watches have brought; that which a resync has still to find does
+ * not become newer by a watch. */
+static int64_t
+watched_age_us(const Feed *f)
+{
+    return evl_boottime() - f->partial_us;
+}
+
 /* Handles an answer of the store which shows that changes were missed. */
 static void
 changes_missed(Feed *f, int64_t now_us)
 {
     Mirror *m = f->m;
 
-    if (f->listed &&
-        (double)copy_age_us(f) > (double)m->o.propagation_us * BEHIND_AGE) {
+    if (f->listed && copy_age_us(f) > m->o.propagation_us) {
         m->o.fns.behind(m->o.ctx, now_us);
     }
 }
@@ -306,9 +310,9 @@
     Mirror *m = f->m;
     double sample = g_rand_double(m->o.rnd);
     int64_t pause_us =
-        by_gossip
-            ? gossip_deferral_us(m->o.propagation_us, copy_age_us(f), sample)
-            : gossip_pause_us(m->o.propagation_us, false, sample);
+        by_gossip ? gossip_deferral_us(m->o.propagation_us, watched_age_us(f),
+                                       sample)
+                  : gossip_pause_us(m->o.propagation_us, false, sample);
 
     f->pausing = true;
     evl_arm(m->o.loop, &f->timer, now_us + pause_us);
@@ -331,8 +335,12 @@
 static int64_t
 answered_us(const Feed *f, guint n)
 {
-    /* Without an event the store has waited for the whole time. */
-    return f->watch_start_us + (n == 0 ? f->watch_wait_us : 0);
+    int64_t waited_us = f->watch_start_us + f->watch_wait_us;
+
+    /* Without an event the store has waited for the whole time, unless the
+     * wait was cut short. */
+    return n == 0 && evl_boottime() >= waited_us ? waited_us
+                                                 : f->watch_start_us;
 }
 
 /* Applies the events of a watch, and forwards them to nearby VMs if the answer
@@ -371,7 +379,6 @@
 {
     Mirror *m = f->m;
     int64_t due_us = now_us + gossip_missing_pause_us(m->o.propagation_us,
-                                                      w->page.items->len > 0,
                                                       g_rand_double(m->o.rnd));
 
     m->missing++;
@@ -541,7 +548,8 @@
     bool at_once = f->confirming || f->checking || f->failing;
     int64_t limit_us = f->failing ? CALL_TIMEOUT_US : t.timeout_us;
     int64_t wait_us =
-        at_once ? 0 : gossip_wait_us(f->m->o.propagation_us, copy_age_us(f));
+        at_once ? 0
+                : gossip_wait_us(f->m->o.propagation_us, watched_age_us(f));
     int wait_ms = MAX((int)(wait_us / 1000), CONFIRM_WAIT_MS);
 
     f->m->calls++;
