--- a/tests/test_px_drain.c
+++ b/tests/test_px_drain.c
@@ -21,6 +21,15 @@
 }
 END_TEST
 
+/* Lets a caller leave whose request is under way; ends the world. */
+static void
+end(World *w, int caller)
+{
+    close(caller);
+    world_run(w, SETTLE_US);
+    world_clear(w);
+}
+
 /* Starts a world whose copy of the store is too old, and a caller that sends a
  * request. */
 static int
@@ -59,8 +68,7 @@
     px_set_confirmed(w.px, evl_now(w.loop));
     world_run(&w, SETTLE_US);
     ck_assert_int_ge(world_accept(&w), 0);
-    close(caller);
-    world_clear(&w);
+    end(&w, caller);
 }
 END_TEST
 
@@ -77,8 +85,7 @@
     world_run(&w, SETTLE_US);
     ck_assert_int_ge(world_accept(&w), 0);
     close(next);
-    close(caller);
-    world_clear(&w);
+    end(&w, caller);
 }
 END_TEST
 
@@ -95,8 +102,7 @@
     int caller = world_ask(&w, "a", 1500);
     world_run(&w, SETTLE_US);
     ck_assert_int_ge(world_accept(&w), 0);
-    close(caller);
-    world_clear(&w);
+    end(&w, caller);
 }
 END_TEST
 
@@ -117,8 +123,7 @@
     int fd = world_accept(&w);
     ck_assert(fd < 0 || recv(fd, &byte, 1, MSG_DONTWAIT) <= 0);
     ck_assert_int_eq(world_status(caller), 503);
-    close(caller);
-    world_clear(&w);
+    end(&w, caller);
 }
 END_TEST
 
@@ -141,8 +146,7 @@
     world_run(&w, SETTLE_US);
     fd = world_accept(&w);
     ck_assert_int_gt((int)recv(fd, &byte, 1, MSG_DONTWAIT), 0);
-    close(caller);
-    world_clear(&w);
+    end(&w, caller);
 }
 END_TEST
 
