Split the gossip and the age of the copy from mirror.c

Change: mirror_gossip.c holds the age of the copy, the pauses it allows and the changes forwarded between VMs; mirror_state.h declares what both files share, as caller_state.h does. No logic changes.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -1,10 +1,5 @@
 /* mirror - keeps this VM's copy of the platform's store.  See mirror.h. */
-#include "mirror.h"
-
-#include "resync.h"
-#include "kvcache.h"
-#include "kvpage.h"
-#include "registration.h"
+#include "mirror_state.h"
 
 #define CALL_TIMEOUT_US 1000000
 #define BACKOFF_MIN_US 150000
@@ -24,52 +19,6 @@
  * watches again without a pause. */
 #define BEHIND_EVENTS 400
 
-/* The copy of the keys with one prefix, and the calls that keep it current. */
-typedef struct Feed {
-    struct Mirror *m;
-    const char *prefix;
-    KvConn *conn;
-    EvlTimer timer;
-    bool listing;
-    bool stale;      /* the list under way may be seconds old */
-    bool confirming; /* a watch fetches what a stale list lacks */
-    bool checking;   /* a watch that returns at once checks whether the copy
-                        is current, see mirror_revalidate() */
-    bool listed;     /* a list was completed at least once */
-    char *after;     /* last key of the previous page */
-    bool relist;     /* list again: keys missing or events unreadable */
-    bool pausing;    /* the timer runs for the next watch */
-    uint64_t missed_rev; /* the last of the missing revisions */
-    bool missed; /* gossip showed missing revisions.  Other VMs then watch
-                    too, so the events of the next watch are not
-                    forwarded. */
-    int64_t list_start_us;  /* start of the list under way; boot time */
-    int64_t watch_start_us; /* start of the watch; boot time */
-    int64_t watch_wait_us;  /* for which the store waits for events */
-    int64_t partial_us;     /* all changes before it are known but those that
-                               the resync under way will find; boot time */
-    int64_t confirmed_us;   /* when the copy was last known to be current; boot
-                               time */
-    int64_t failed_us;      /* time of the last failed call; steady time */
-    int64_t backoff_us;
-    bool failing;
-    bool urgent_pending; /* changes were missed; read the urgent keys first */
-    Resync *resync;
-    KvCache *cache;
-    KvPages pages;
-} Feed;
-
-struct Mirror {
-    MirrorOpts o;
-    Feed *feeds;
-    int n_feeds;
-    bool ready;
-    int64_t calls;
-    int64_t deferred;
-    int64_t missing;
-    Registration *registration;
-};
-
 static void feed_list(Feed *f);
 static void feed_list_urgent(Feed *f);
 static void feed_watch(Feed *f);
@@ -163,56 +112,22 @@
 }
 
 
-/* Records that all changes before at_us are known. */
-static void
-set_confirmed(Feed *f, int64_t at_us)
-{
-    Mirror *m = f->m;
-
-    f->partial_us = MAX(f->partial_us, at_us);
-    if (resync_lacks_changes(f->resync)) {
-        return;
-    }
-    f->confirmed_us = f->partial_us;
-    at_us = f->confirmed_us;
-    for (int i = 0; i < m->n_feeds; i++) {
-        at_us = MIN(at_us, m->feeds[i].confirmed_us);
-    }
-    if (m->o.fns.confirmed != NULL) {
-        m->o.fns.confirmed(m->o.ctx, at_us);
-    }
-}
-
 static void
 on_resync(void *ctx, int64_t now_us)
 {
     Feed *f = ctx;
 
-    set_confirmed(f, f->partial_us);
+    mirror_feed_confirm(f, f->partial_us);
     notify_current(f->m, now_us);
 }
 
-static int64_t
-copy_age_us(const Feed *f)
-{
-    return evl_boottime() - f->confirmed_us;
-}
-
-/* Age of what watches have brought; that which a resync has still to find does
- * not become newer by a watch. */
-static int64_t
-watched_age_us(const Feed *f)
-{
-    return evl_boottime() - f->partial_us;
-}
-
 /* Handles an answer of the store which shows that changes were missed. */
 static void
 changes_missed(Feed *f, int64_t now_us)
 {
     Mirror *m = f->m;
 
-    if (f->listed && copy_age_us(f) > m->o.propagation_us) {
+    if (f->listed && mirror_feed_age_us(f) > m->o.propagation_us) {
         m->o.fns.behind(m->o.ctx, now_us);
     }
 }
@@ -245,7 +160,7 @@
         kvcache_drop_missing(f->cache, kvcache_rev(f->cache), 2, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
     f->listing = false;
-    set_confirmed(f, f->list_start_us);
+    mirror_feed_confirm(f, f->list_start_us);
     mark_current(f, now_us);
     if (f->relist) {
         feed_schedule(f, RELIST_US);
@@ -304,133 +219,6 @@
             CALL_TIMEOUT_US, on_list, f);
 }
 
-static void
-feed_pause(Feed *f, bool by_gossip, int64_t now_us)
-{
-    Mirror *m = f->m;
-    double sample = g_rand_double(m->o.rnd);
-    int64_t pause_us =
-        by_gossip ? gossip_deferral_us(m->o.propagation_us, watched_age_us(f),
-                                       sample)
-                  : gossip_pause_us(m->o.propagation_us, false, sample);
-
-    f->pausing = true;
-    evl_arm(m->o.loop, &f->timer, now_us + pause_us);
-}
-
-/* Shows which revisions and events other VMs were sent. */
-static void
-log_forwarded(const Feed *f, const KvPage *p, const GossipOut *o)
-{
-    if (p->items->len > 0) {
-        dlog_event(f->m->o.log, DLOG_INFO, "store",
-                   "event=forwarded prefix=%s from=%" G_GUINT64_FORMAT
-                   " to=%" G_GUINT64_FORMAT " events=%u forwarded=%d",
-                   f->prefix, o->from, o->to, p->items->len, o->n);
-    }
-}
-
-/* Returns a time before which no change is missing from the answer of a watch
- * with n events, which has just arrived. */
-static int64_t
-answered_us(const Feed *f, guint n)
-{
-    int64_t waited_us = f->watch_start_us + f->watch_wait_us;
-
-    /* Without an event the store has waited for the whole time, unless the
-     * wait was cut short. */
-    return n == 0 && evl_boottime() >= waited_us ? waited_us
-                                                 : f->watch_start_us;
-}
-
-/* Applies the events of a watch, and forwards them to nearby VMs if the answer
- * is recent enough. */
-static void
-handle_events(Feed *f, const KvPage *p, int64_t now_us)
-{
-    Mirror *m = f->m;
-    GPtrArray *forward = g_ptr_array_new();
-    uint64_t from = kvcache_rev(f->cache);
-
-    kvcache_apply_events(f->cache, p, forward, now_us);
-    int64_t since_failure_us =
-        f->failed_us == 0 ? INT64_MAX : now_us - f->failed_us;
-    if (!f->missed && !f->confirming &&
-        gossip_is_fresh(m->o.propagation_us,
-                        evl_boottime() - f->watch_start_us,
-                        since_failure_us)) {
-        GossipOut o = {.feed = (int)(f - m->feeds),
-                       .from = from,
-                       .to = kvcache_rev(f->cache),
-                       .items = (const KvItem *const *)forward->pdata,
-                       .n = (int)forward->len,
-                       .age_us =
-                           evl_boottime() - answered_us(f, p->items->len)};
-        m->o.fns.announce(m->o.ctx, &o);
-        log_forwarded(f, p, &o);
-    }
-    g_ptr_array_free(forward, TRUE);
-}
-
-/* Applies the items of a message before which revisions are missing, and
- * watches soon.  The message may be the first part of a large one. */
-static void
-revisions_missed(Feed *f, const Gossip *w, int64_t now_us)
-{
-    Mirror *m = f->m;
-    int64_t due_us = now_us + gossip_missing_pause_us(m->o.propagation_us,
-                                                      g_rand_double(m->o.rnd));
-
-    m->missing++;
-    kvcache_apply_early(f->cache, &w->page, now_us);
-    if (!f->pausing) {
-        return;
-    }
-    if (!f->missed) {
-        dlog_event(m->o.log, DLOG_INFO, "store",
-                   "event=gossip_missing prefix=%s rev=%" G_GUINT64_FORMAT
-                   " from=%" G_GUINT64_FORMAT " to=%" G_GUINT64_FORMAT
-                   " items=%u copy_age_ms=%" G_GINT64_FORMAT,
-                   f->prefix, kvcache_rev(f->cache), w->from, w->page.rev,
-                   w->page.items->len, copy_age_us(f) / 1000);
-    }
-    f->missed = true;
-    f->missed_rev = MAX(f->missed_rev, w->page.rev);
-    if (due_us < f->timer.at_us) {
-        evl_arm(m->o.loop, &f->timer, due_us);
-    }
-}
-
-void
-mirror_receive(Mirror *m, const Gossip *w, int64_t now_us)
-{
-    if (w->feed < 0 || w->feed >= m->n_feeds) {
-        return;
-    }
-    Feed *f = &m->feeds[w->feed];
-    if (f->listing || !f->listed || f->relist || f->urgent_pending) {
-        return;
-    }
-    switch (gossip_order(kvcache_rev(f->cache), w->from, w->page.rev)) {
-    case GOSSIP_OLD:
-        break;
-    case GOSSIP_NEXT:
-        kvcache_apply_events(f->cache, &w->page, NULL, now_us);
-        f->missed = f->missed && kvcache_rev(f->cache) < f->missed_rev;
-        /* The message may have waited in the socket of this VM. */
-        set_confirmed(f, evl_since(m->o.loop) - w->age_us);
-        /* A VM whose calls the store refuses stays current by gossip. */
-        if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed) {
-            m->deferred++;
-            feed_pause(f, true, now_us);
-        }
-        break;
-    case GOSSIP_MISSING:
-        revisions_missed(f, w, now_us);
-        break;
-    }
-}
-
 static void
 on_urgent(void *ctx, int status, Str body, int64_t now_us)
 {
@@ -451,9 +239,9 @@
     kvcache_merge(f->cache, &p, now_us);
     kvcache_set_rev(f->cache, p.rev);
     kv_page_clear(&p);
-    set_confirmed(f, f->list_start_us);
+    mirror_feed_confirm(f, f->list_start_us);
     feed_succeeded(f);
-    feed_pause(f, false, now_us);
+    mirror_feed_pause(f, false, now_us);
     resync_run(f->resync, kvcache_rev(f->cache));
 }
 
@@ -518,7 +306,7 @@
         feed_failed(f, "watch", status, now_us);
         return;
     }
-    handle_events(f, &p, now_us);
+    mirror_feed_apply(f, &p, now_us);
     guint n = p.items->len;
     kv_page_clear(&p);
     if (f->confirming && n >= CONFIRM_EVENTS) {
@@ -533,9 +321,9 @@
         feed_watch(f);
         return;
     }
-    set_confirmed(f, answered_us(f, n));
+    mirror_feed_confirm(f, mirror_feed_answered_us(f, n));
     mark_current(f, now_us);
-    feed_pause(f, f->missed, now_us);
+    mirror_feed_pause(f, f->missed, now_us);
     f->missed = false;
 }
 
@@ -547,9 +335,9 @@
      * that the store is reachable again. */
     bool at_once = f->confirming || f->checking || f->failing;
     int64_t limit_us = f->failing ? CALL_TIMEOUT_US : t.timeout_us;
-    int64_t wait_us =
-        at_once ? 0
-                : gossip_wait_us(f->m->o.propagation_us, watched_age_us(f));
+    int64_t wait_us = at_once ? 0
+                              : gossip_wait_us(f->m->o.propagation_us,
+                                               mirror_feed_watched_age_us(f));
     int wait_ms = MAX((int)(wait_us / 1000), CONFIRM_WAIT_MS);
 
     f->m->calls++;
--- /dev/null
+++ b/src/mirror_gossip.c
@@ -0,0 +1,157 @@
+/* mirror_gossip - the age of a mirror's copy, and changes forwarded between
+ * VMs. See mirror_state.h. */
+#include "mirror_state.h"
+
+void
+mirror_feed_confirm(Feed *f, int64_t at_us)
+{
+    Mirror *m = f->m;
+
+    f->partial_us = MAX(f->partial_us, at_us);
+    if (resync_lacks_changes(f->resync)) {
+        return;
+    }
+    f->confirmed_us = f->partial_us;
+    at_us = f->confirmed_us;
+    for (int i = 0; i < m->n_feeds; i++) {
+        at_us = MIN(at_us, m->feeds[i].confirmed_us);
+    }
+    if (m->o.fns.confirmed != NULL) {
+        m->o.fns.confirmed(m->o.ctx, at_us);
+    }
+}
+
+int64_t
+mirror_feed_age_us(const Feed *f)
+{
+    return evl_boottime() - f->confirmed_us;
+}
+
+int64_t
+mirror_feed_watched_age_us(const Feed *f)
+{
+    return evl_boottime() - f->partial_us;
+}
+
+void
+mirror_feed_pause(Feed *f, bool by_gossip, int64_t now_us)
+{
+    Mirror *m = f->m;
+    double sample = g_rand_double(m->o.rnd);
+    int64_t pause_us =
+        by_gossip ? gossip_deferral_us(m->o.propagation_us,
+                                       mirror_feed_watched_age_us(f), sample)
+                  : gossip_pause_us(m->o.propagation_us, false, sample);
+
+    f->pausing = true;
+    evl_arm(m->o.loop, &f->timer, now_us + pause_us);
+}
+
+/* Shows which revisions and events other VMs were sent. */
+static void
+log_forwarded(const Feed *f, const KvPage *p, const GossipOut *o)
+{
+    if (p->items->len > 0) {
+        dlog_event(f->m->o.log, DLOG_INFO, "store",
+                   "event=forwarded prefix=%s from=%" G_GUINT64_FORMAT
+                   " to=%" G_GUINT64_FORMAT " events=%u forwarded=%d",
+                   f->prefix, o->from, o->to, p->items->len, o->n);
+    }
+}
+
+int64_t
+mirror_feed_answered_us(const Feed *f, guint n)
+{
+    int64_t waited_us = f->watch_start_us + f->watch_wait_us;
+
+    /* Without an event the store has waited for the whole time, unless the
+     * wait was cut short. */
+    return n == 0 && evl_boottime() >= waited_us ? waited_us
+                                                 : f->watch_start_us;
+}
+
+void
+mirror_feed_apply(Feed *f, const KvPage *p, int64_t now_us)
+{
+    Mirror *m = f->m;
+    GPtrArray *forward = g_ptr_array_new();
+    uint64_t from = kvcache_rev(f->cache);
+
+    kvcache_apply_events(f->cache, p, forward, now_us);
+    int64_t since_failure_us =
+        f->failed_us == 0 ? INT64_MAX : now_us - f->failed_us;
+    if (!f->missed && !f->confirming &&
+        gossip_is_fresh(m->o.propagation_us,
+                        evl_boottime() - f->watch_start_us,
+                        since_failure_us)) {
+        GossipOut o = {.feed = (int)(f - m->feeds),
+                       .from = from,
+                       .to = kvcache_rev(f->cache),
+                       .items = (const KvItem *const *)forward->pdata,
+                       .n = (int)forward->len,
+                       .age_us = evl_boottime() -
+                                 mirror_feed_answered_us(f, p->items->len)};
+        m->o.fns.announce(m->o.ctx, &o);
+        log_forwarded(f, p, &o);
+    }
+    g_ptr_array_free(forward, TRUE);
+}
+
+/* Applies the items of a message before which revisions are missing, and
+ * watches soon.  The message may be the first part of a large one. */
+static void
+revisions_missed(Feed *f, const Gossip *w, int64_t now_us)
+{
+    Mirror *m = f->m;
+    int64_t due_us = now_us + gossip_missing_pause_us(m->o.propagation_us,
+                                                      g_rand_double(m->o.rnd));
+
+    m->missing++;
+    kvcache_apply_early(f->cache, &w->page, now_us);
+    if (!f->pausing) {
+        return;
+    }
+    if (!f->missed) {
+        dlog_event(m->o.log, DLOG_INFO, "store",
+                   "event=gossip_missing prefix=%s rev=%" G_GUINT64_FORMAT
+                   " from=%" G_GUINT64_FORMAT " to=%" G_GUINT64_FORMAT
+                   " items=%u copy_age_ms=%" G_GINT64_FORMAT,
+                   f->prefix, kvcache_rev(f->cache), w->from, w->page.rev,
+                   w->page.items->len, mirror_feed_age_us(f) / 1000);
+    }
+    f->missed = true;
+    f->missed_rev = MAX(f->missed_rev, w->page.rev);
+    if (due_us < f->timer.at_us) {
+        evl_arm(m->o.loop, &f->timer, due_us);
+    }
+}
+
+void
+mirror_receive(Mirror *m, const Gossip *w, int64_t now_us)
+{
+    if (w->feed < 0 || w->feed >= m->n_feeds) {
+        return;
+    }
+    Feed *f = &m->feeds[w->feed];
+    if (f->listing || !f->listed || f->relist || f->urgent_pending) {
+        return;
+    }
+    switch (gossip_order(kvcache_rev(f->cache), w->from, w->page.rev)) {
+    case GOSSIP_OLD:
+        break;
+    case GOSSIP_NEXT:
+        kvcache_apply_events(f->cache, &w->page, NULL, now_us);
+        f->missed = f->missed && kvcache_rev(f->cache) < f->missed_rev;
+        /* The message may have waited in the socket of this VM. */
+        mirror_feed_confirm(f, evl_since(m->o.loop) - w->age_us);
+        /* A VM whose calls the store refuses stays current by gossip. */
+        if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed) {
+            m->deferred++;
+            mirror_feed_pause(f, true, now_us);
+        }
+        break;
+    case GOSSIP_MISSING:
+        revisions_missed(f, w, now_us);
+        break;
+    }
+}
--- /dev/null
+++ b/src/mirror_state.h
@@ -0,0 +1,83 @@
+/*
+ * mirror_state - state of a mirror, for mirror.c and mirror_gossip.c only.
+ */
+#ifndef MIMOSA_MIRROR_STATE_H
+#define MIMOSA_MIRROR_STATE_H
+
+#include "mirror.h"
+
+#include "kvcache.h"
+#include "kvpage.h"
+#include "registration.h"
+#include "resync.h"
+
+/* The copy of the keys with one prefix, and the calls that keep it current. */
+typedef struct Feed {
+    struct Mirror *m;
+    const char *prefix;
+    KvConn *conn;
+    EvlTimer timer;
+    bool listing;
+    bool stale;      /* the list under way may be seconds old */
+    bool confirming; /* a watch fetches what a stale list lacks */
+    bool checking;   /* a watch that returns at once checks whether the copy
+                        is current, see mirror_revalidate() */
+    bool listed;     /* a list was completed at least once */
+    char *after;     /* last key of the previous page */
+    bool relist;     /* list again: keys missing or events unreadable */
+    bool pausing;    /* the timer runs for the next watch */
+    uint64_t missed_rev; /* the last of the missing revisions */
+    bool missed; /* gossip showed missing revisions.  Other VMs then watch
+                    too, so the events of the next watch are not
+                    forwarded. */
+    int64_t list_start_us;  /* start of the list under way; boot time */
+    int64_t watch_start_us; /* start of the watch; boot time */
+    int64_t watch_wait_us;  /* for which the store waits for events */
+    int64_t partial_us;     /* all changes before it are known but those that
+                               the resync under way will find; boot time */
+    int64_t confirmed_us;   /* when the copy was last known to be current; boot
+                               time */
+    int64_t failed_us;      /* time of the last failed call; steady time */
+    int64_t backoff_us;
+    bool failing;
+    bool urgent_pending; /* changes were missed; read the urgent keys first */
+    Resync *resync;
+    KvCache *cache;
+    KvPages pages;
+} Feed;
+
+struct Mirror {
+    MirrorOpts o;
+    Feed *feeds;
+    int n_feeds;
+    bool ready;
+    int64_t calls;
+    int64_t deferred;
+    int64_t missing;
+    Registration *registration;
+};
+
+/* Records that all changes before at_us (boot time) are known, but those that
+ * a resync under way will find. */
+void mirror_feed_confirm(Feed *f, int64_t at_us);
+
+/* Time since the copy was known to be current. */
+int64_t mirror_feed_age_us(const Feed *f);
+
+/* The same without what a resync has still to find, which does not become
+ * newer by a watch. */
+int64_t mirror_feed_watched_age_us(const Feed *f);
+
+/* Returns a time before which no change is missing from the answer of a watch
+ * with n events, which has just arrived. */
+int64_t mirror_feed_answered_us(const Feed *f, guint n);
+
+/* Arms the timer of the next watch.  by_gossip: the last changes were received
+ * from another VM. */
+void mirror_feed_pause(Feed *f, bool by_gossip, int64_t now_us);
+
+/* Applies the events of a watch, and forwards them to nearby VMs if the answer
+ * is recent enough. */
+void mirror_feed_apply(Feed *f, const KvPage *p, int64_t now_us);
+
+#endif
