Do not confirm the copy by a list that lacks keys of it

What callers would see: requests at an upstream that has left, while a list that lacks it waits to be repeated: up to 0.33 s and a call longer. Cause: a list that lacks keys counted as confirmation, although these keys are kept until a second list lacks them too. The age of the copy, which the choice of an upstream looks at since, was too low then; found by reading the split file. Evidence: build/test_mirror (a_list_that_lacks_a_key_is_not_current) with the new check failed before: confirmed 0.7 s later by that list. Change: only a list that lacks nothing confirms the copy.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -160,12 +160,12 @@
         kvcache_drop_missing(f->cache, kvcache_rev(f->cache), 2, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
     f->listing = false;
-    mirror_feed_confirm(f, f->list_start_us);
     mark_current(f, now_us);
     if (f->relist) {
         feed_schedule(f, RELIST_US);
     }
     else {
+        mirror_feed_confirm(f, f->list_start_us);
         feed_watch(f);
     }
 }
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -58,6 +58,7 @@
     char currents[1024];
     int64_t confirmed_us;       /* last argument of MirrorFns.confirmed */
     int64_t call_us[CALLS_MAX]; /* when each call arrived */
+    int64_t confirmed_at_call_us[CALLS_MAX]; /* confirmed_us at that time */
     MirrorCounts counts;
     int64_t announced_age_us;
     char announced[256]; /* keys that were announced to other VMs */
@@ -105,6 +106,7 @@
     ck_assert_int_lt(s->n_calls, CALLS_MAX);
     snprintf(call, sizeof(s->calls[0]), "%.*s", (int)c->req.target.n,
              c->req.target.p);
+    s->confirmed_at_call_us[s->n_calls] = s->confirmed_us;
     s->call_us[s->n_calls++] = evl_boottime();
     const Answer *a = find_answer(s, call);
     if (s->news != NULL && s->n_calls == NEWS_AFTER_CALLS) {
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -245,6 +245,8 @@
     ck_assert_str_eq(s.at_end, "servers/a ");
     g_snprintf(early, sizeof(early), "|%d:servers/a servers/b ", list + 1);
     ck_assert_msg(strstr(s.currents, early) == NULL, "%s", s.currents);
+    ck_assert_int_eq(s.confirmed_at_call_us[list + 1],
+                     s.confirmed_at_call_us[list]);
 }
 END_TEST
 
