--- a/tests/test_gossipsend.c
+++ b/tests/test_gossipsend.c
@@ -164,14 +164,19 @@
     s->bytes += g_bytes_get_size(datagram);
 }
 
+static GBytes *
+empty_datagram(void)
+{
+    return g_bytes_new_take(g_malloc0(GOSSIP_BYTES_MAX), GOSSIP_BYTES_MAX);
+}
+
 /* Guards against fragments that overflow the queue of a slow link, which drops
  * them and delays requests. */
 START_TEST(fragments_leave_half_of_the_link_free)
 {
     Sent sent = {0, 0, 0};
     Pacer *p = pacer_new(LINK_MBPS, on_send, &sent);
-    GBytes *datagram =
-        g_bytes_new_take(g_malloc0(GOSSIP_BYTES_MAX), GOSSIP_BYTES_MAX);
+    GBytes *datagram = empty_datagram();
     int64_t now_us = 1000000;
     size_t peak = 0;
 
@@ -205,8 +210,7 @@
 {
     Sent sent = {0, 0, 0};
     Pacer *p = pacer_new(0.1, on_send, &sent);
-    GBytes *datagram =
-        g_bytes_new_take(g_malloc0(GOSSIP_BYTES_MAX), GOSSIP_BYTES_MAX);
+    GBytes *datagram = empty_datagram();
     int to = 1;
     int n = 0;
 
--- a/tests/test_px_drain.c
+++ b/tests/test_px_drain.c
@@ -106,22 +106,38 @@
 }
 END_TEST
 
+/* Starts a world and a caller whose request waits for a connection. */
+static int
+ask_without_connection(World *w)
+{
+    world_init(w, true, 100);
+    int caller = world_ask(w, "a", 1500);
+    while (w->u->n_conns == 0) {
+        evl_run_once(w->loop, 1);
+    }
+    return caller;
+}
+
+/* Checks that nothing is written to the connection. */
+static void
+check_not_written(World *w)
+{
+    char byte;
+
+    world_run(w, SETTLE_US);
+    int fd = world_accept(w);
+    ck_assert(fd < 0 || recv(fd, &byte, 1, MSG_DONTWAIT) <= 0);
+}
+
 /* Guards against a request that waits for a connection while its upstream
  * begins to leave, and is written when it is established. */
 START_TEST(a_request_is_not_written_to_a_connection_of_an_upstream_that_drains)
 {
     World w;
-    char byte;
+    int caller = ask_without_connection(&w);
 
-    world_init(&w, true, 100);
-    int caller = world_ask(&w, "a", 1500);
-    while (w.u->n_conns == 0) {
-        evl_run_once(w.loop, 1);
-    }
     world_drain(&w);
-    world_run(&w, SETTLE_US);
-    int fd = world_accept(&w);
-    ck_assert(fd < 0 || recv(fd, &byte, 1, MSG_DONTWAIT) <= 0);
+    check_not_written(&w);
     ck_assert_int_eq(world_status(caller), 503);
     end(&w, caller);
 }
@@ -132,19 +148,13 @@
 {
     World w;
     char byte;
+    int caller = ask_without_connection(&w);
 
-    world_init(&w, true, 100);
-    int caller = world_ask(&w, "a", 1500);
-    while (w.u->n_conns == 0) {
-        evl_run_once(w.loop, 1);
-    }
     px_set_confirmed(w.px, evl_now(w.loop) - COPY_AGE_MAX_US - MS);
-    world_run(&w, SETTLE_US);
-    int fd = world_accept(&w);
-    ck_assert(fd < 0 || recv(fd, &byte, 1, MSG_DONTWAIT) <= 0);
+    check_not_written(&w);
     px_set_confirmed(w.px, evl_now(w.loop));
     world_run(&w, SETTLE_US);
-    fd = world_accept(&w);
+    int fd = world_accept(&w);
     ck_assert_int_gt((int)recv(fd, &byte, 1, MSG_DONTWAIT), 0);
     end(&w, caller);
 }
