Reject responses whose status line is malformed

What callers saw: a response with the status 000 was passed on as "HTTP/1.1 0 <unknown>" with the seal and body of the upstream; curl ends with an error of the protocol. 600 and 999 arrived as they were, 0200, two spaces before the status, HTTP/0.9 and HTTP/2.0 as 200. Cause: h1 looked only for control bytes and one space in the start line. http_parser, which reads the rest, takes any number up to 999 as a status and any version, and pxhead prints the number that it is given. Change: the status line of a response is checked against RFC 9112, section 4, and its status against RFC 9110, section 15, before http_parser runs. The check is in h1, so it holds for responses of upstreams, answers of the store and answers between VMs. The space before an empty reason phrase may still be missing: some servers omit it, and the line has one reading only. standin-platform sends the answers of standins/answers.h byte for byte.

--- a/Makefile
+++ b/Makefile
@@ -97,7 +97,7 @@
 
 $(B)/test_%: tests/test_%.c $(LIB) $(HDRS)
 	$(if $(V),,@echo "  CC    $@")
-	$(Q)$(CC) $(ALL_CFLAGS) -iquote tests $(PKG_CFLAGS) $(CHECK_CFLAGS) $< $(LIB) \
+	$(Q)$(CC) $(ALL_CFLAGS) -iquote tests -iquote standins $(PKG_CFLAGS) $(CHECK_CFLAGS) $< $(LIB) \
 	    $(CHECK_LIBS) $(ALL_LIBS) -o $@
 
 $(B)/soak_%: tests/soak_%.c $(LIB) $(HDRS)
--- a/src/h1.c
+++ b/src/h1.c
@@ -198,6 +198,25 @@
     return parse_framing(h, x, e);
 }
 
+/* A status line of RFC 9112, section 4, with a status of RFC 9110, section 15.
+ * http_parser accepts any number up to 999 and any version.  The space before
+ * an empty reason phrase may be missing, as some servers omit it. */
+static bool
+is_status_line(Str line)
+{
+    static const char version[] = "HTTP/1.";
+    size_t n = strlen(version);
+    size_t end = n + strlen("1 200");
+
+    if (line.n < end || memcmp(line.p, version, n) != 0) {
+        return false;
+    }
+    const char *p = line.p + n;
+    return g_ascii_isdigit(p[0]) && p[1] == ' ' && p[2] >= '1' &&
+           p[2] <= '5' && g_ascii_isdigit(p[3]) && g_ascii_isdigit(p[4]) &&
+           (line.n == end || line.p[end] == ' ');
+}
+
 static bool
 parse_start_line(H1 *h, Str line, Err *e)
 {
@@ -206,14 +225,18 @@
     if (!is_valid_value(line) || a == NULL) {
         return err_set(e, ERR_PROTOCOL, "start line is malformed");
     }
-    if (h->parser.type == HTTP_REQUEST) {
-        const char *t = a + 1;
-        const char *b = memchr(t, ' ', line.n - (size_t)(t - line.p));
-        if (b == NULL || b == t) {
-            return err_set(e, ERR_PROTOCOL, "request line is malformed");
-        }
-        h->target = (Str){t, (size_t)(b - t)};
+    if (h->parser.type == HTTP_RESPONSE) {
+        return is_status_line(line) ||
+               err_set(e, ERR_PROTOCOL,
+                       "status line is malformed; send \"HTTP/1.1\" and a "
+                       "status from 100 to 599");
+    }
+    const char *t = a + 1;
+    const char *b = memchr(t, ' ', line.n - (size_t)(t - line.p));
+    if (b == NULL || b == t) {
+        return err_set(e, ERR_PROTOCOL, "request line is malformed");
     }
+    h->target = (Str){t, (size_t)(b - t)};
     return true;
 }
 
--- a/src/h1.h
+++ b/src/h1.h
@@ -4,8 +4,9 @@
  * http_parser accepts some messages that other parsers frame differently,
  * which allows request smuggling.  The head is therefore checked first.  These
  * are errors: conflicting or repeated lengths, a length together with a
- * transfer coding, a coding other than "chunked", bare CR or LF, folded lines
- * and white space before a colon.
+ * transfer coding, a coding other than "chunked", bare CR or LF, folded lines,
+ * white space before a colon, and in a response a status line of another form
+ * than RFC 9112 defines or a status outside 100 to 599.
  */
 #ifndef MIMOSA_H1_H
 #define MIMOSA_H1_H
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -22,6 +22,7 @@
  *   large        chunked response of LARGE_BYTES
  *   hugeKB       chunked response of KB * 1024 bytes
  *   endlessKIND  bytes until the caller disconnects, see endless_kinds
+ *   answerNAME   the answer of that name, see answers.h
  *
  * Control calls on the port of the store:
  *   PUT  /test/key?KEY     stores the body under KEY, as an operator would
@@ -47,6 +48,8 @@
  *                          those beyond two during a wait; see platform_notice
  *   GET  /test/endless     number of responses without end whose connections
  *                          are open, and of all so far
+ *   GET  /test/answer?N    N-th answer of answers.h: its name, and the status
+ *                          and body that a caller gets; empty behind the last
  *   GET  /test/arrived?ID  number of requests for target ID
  *   GET  /test/served?ID   number of those that it accepted
  *   GET  /test/crashes     number of crashes of all targets
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "answers.h"
 #include "caller.h"
 #include "evl.h"
 #include "pf.h"
@@ -491,6 +492,14 @@
     else if (strcmp(what, "endless") == 0) {
         snprintf(out, cap, "%d %d\n", p->n_endless, p->n_endless_begun);
     }
+    else if (strcmp(what, "answer") == 0) {
+        size_t i = (size_t)strtoul(arg, NULL, 10);
+        out[0] = '\0';
+        if (i < G_N_ELEMENTS(answers)) {
+            snprintf(out, cap, "%s %d %s\n", answers[i].name,
+                     answers[i].status, answers[i].body);
+        }
+    }
     else if (strcmp(what, "arrived") == 0) {
         snprintf(out, cap, "%d\n", t == NULL ? 0 : t->arrived);
     }
--- a/standins/platform_targets.h
+++ b/standins/platform_targets.h
@@ -5,6 +5,7 @@
 #ifndef MIMOSA_PLATFORM_TARGETS_H
 #define MIMOSA_PLATFORM_TARGETS_H
 
+#include "answers.h"
 #include "platform_endless.h"
 #include "platform_notice.h"
 #include "platform_store.h"
@@ -219,6 +220,31 @@
     g_free(extra);
 }
 
+/* Sends answers[name], whose headers are those of the complete response, byte
+ * for byte, and keeps the connection open.  Returns false if there is none. */
+static bool
+respond_raw(Target *t, Caller *c, const char *name, const char *id)
+{
+    size_t i = 0;
+
+    while (i < G_N_ELEMENTS(answers) && strcmp(answers[i].name, name) != 0) {
+        i++;
+    }
+    if (i == G_N_ELEMENTS(answers)) {
+        return false;
+    }
+    char *head = sealed_head(t, id);
+    const char *headers = strchr(head, '\n') + 1;
+
+    count_run(t->p, id);
+    caller_write(c, answers[i].before.p, answers[i].before.n);
+    caller_write(c, headers, strlen(headers));
+    caller_write(c, answers[i].after.p, answers[i].after.n);
+    caller_end(c);
+    g_free(head);
+    return true;
+}
+
 static void
 run_request(Target *t, Caller *c, const char *behaviour, const char *id,
             int64_t now_us)
@@ -268,6 +294,11 @@
         }
         g_free(head);
     }
+    else if (g_str_has_prefix(behaviour, "answer")) {
+        if (!respond_raw(t, c, behaviour + strlen("answer"), id)) {
+            respond_not_run(t, c, id, 404, "");
+        }
+    }
     else if (strcmp(behaviour, "large") == 0) {
         respond_large(t, c, id, LARGE_BYTES);
     }
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 
+#include "answers.h"
 #include "h1.h"
 #include "pxhead.h"
 
@@ -250,7 +251,66 @@
 }
 END_TEST
 
+/* Reads an answer in pieces of that many bytes, up to the end of the message
+ * or its connection.  Returns its status, -1 if it is malformed. */
+static int
+read_answer(const Answer *a, size_t piece, GByteArray *body)
+{
+    GString *g = g_string_new_len(a->before.p, (gssize)a->before.n);
+    GByteArray *in = g_byte_array_new();
+    H1State s = H1_HEAD;
+    H1 h;
+    Err e = {0};
+
+    g_string_append(g, "X-Attempt: 7\r\nX-Seal: s\r\n");
+    g_string_append_len(g, a->after.p, (gssize)a->after.n);
+    h1_init(&h, false);
+    for (size_t at = 0; at < g->len && s < H1_DONE; at += piece) {
+        g_byte_array_append(in, (guint8 *)g->str + at,
+                            (guint)MIN(piece, g->len - at));
+        s = h1_feed(&h, in, HEAD_MAX, &e);
+        while (s == H1_DONE && h.parser.status_code / 100 == 1) {
+            h1_next(&h);
+            s = h1_feed(&h, in, HEAD_MAX, &e);
+        }
+    }
+    if (s < H1_DONE) {
+        s = h1_eof(&h);
+    }
+    int status = s == H1_DONE ? (int)h.parser.status_code : -1;
+    g_byte_array_append(body, h.body->data, h.body->len);
+    h1_clear(&h);
+    g_byte_array_unref(in);
+    g_string_free(g, TRUE);
+    return status;
+}
+
+/* Guards against reading a malformed answer as a complete one, and against
+ * refusing an unusual one, also when they arrive byte by byte. */
+START_TEST(only_well_formed_answers_are_read)
+{
+    static const size_t pieces[] = {1, 7, HEAD_MAX};
+
+    for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+        for (size_t k = 0; k < G_N_ELEMENTS(pieces); k++) {
+            const Answer *a = &answers[i];
+            GByteArray *body = g_byte_array_new();
+            int status = read_answer(a, pieces[k], body);
+            ck_assert_msg(status == (a->status == 0 ? -1 : a->status),
+                          "%s: %d", a->name, status);
+            ck_assert_msg(status < 0 ||
+                              (body->len == strlen(a->body) &&
+                               (body->len == 0 ||
+                                memcmp(body->data, a->body, body->len) == 0)),
+                          "%s: %u bytes", a->name, body->len);
+            g_byte_array_unref(body);
+        }
+    }
+}
+END_TEST
+
 T_MAIN("h1", ambiguous_requests_are_rejected, message_ends_as_framed,
        split_reads_give_same_message, large_heads_are_rejected,
        truncated_responses_are_errors, forwarded_requests_replace_headers,
-       responses_are_classified, blank_lines_are_ignored_twice_only)
+       responses_are_classified, blank_lines_are_ignored_twice_only,
+       only_well_formed_answers_are_read)
