Reject a response that switches the protocol

What callers saw: what an upstream sent behind "101 Switching Protocols" was passed on as its response. Cause: 101 was skipped like the other interim responses. It says that the bytes behind it are not HTTP/1.1, and px never sends the Upgrade of a caller. Change: h1 rejects status 101. Result: before, test_h1 failed with "switching: 200", test_px_answers with "switching: not closed", platform_answers.sh with six checks; with Connection and Upgrade headers http_parser rejected it already. Now none fails.

--- a/src/h1.c
+++ b/src/h1.c
@@ -304,6 +304,13 @@
 static bool
 check_framing(const H1 *h, Err *e)
 {
+    if (h->parser.type == HTTP_RESPONSE &&
+        h->parser.status_code == HTTP_STATUS_SWITCHING_PROTOCOLS) {
+        return err_set(
+            e, ERR_PROTOCOL,
+            "response with status 101 to a request without Upgrade; "
+            "send the response in HTTP/1.1");
+    }
     if (has_no_content(&h->parser) && h->parser.status_code != 304 &&
         (h->length > 0 || h->chunked)) {
         return err_set(e, ERR_PROTOCOL,
--- a/standins/answers.h
+++ b/standins/answers.h
@@ -116,6 +116,12 @@
         "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
         "0\r\n\r\n" ANSWER_OK,
         ANSWER_BODY),
+    /* No request asks for another protocol. */
+    BAD("switching", "HTTP/1.1 101 Status\r\n\r\n" ANSWER_OK, ANSWER_BODY),
+    BAD("switchingto",
+        "HTTP/1.1 101 Status\r\nConnection: upgrade\r\nUpgrade: "
+        "HTTP/1.1\r\n\r\n" ANSWER_OK,
+        ANSWER_BODY),
     /* Well-formed. */
     GOOD("ok", 200, "abc", ANSWER_OK, ANSWER_BODY),
     GOOD("highreason", 200, "abc", "HTTP/1.1 200 St\344tus\r\n", ANSWER_BODY),
