Reject a transfer coding in a response of HTTP/1.0

What callers saw: the decoded content of such a response, as if its framing were known. Cause: http_parser decodes chunks whatever the version is. HTTP/1.0 has no transfer codings, so by RFC 9112, section 6.1, the framing is faulty: nobody can tell whether the chunks are framing or content. Change: h1 rejects it.

--- a/src/h1.c
+++ b/src/h1.c
@@ -304,6 +304,11 @@
 static bool
 check_framing(const H1 *h, Err *e)
 {
+    if (h->parser.type == HTTP_RESPONSE && h->chunked &&
+        h->parser.http_minor == 0) {
+        return err_set(e, ERR_PROTOCOL,
+                       "Transfer-Encoding in HTTP/1.0; send HTTP/1.1");
+    }
     if (h->parser.type == HTTP_RESPONSE &&
         h->parser.status_code == HTTP_STATUS_SWITCHING_PROTOCOLS) {
         return err_set(
--- a/src/h1.h
+++ b/src/h1.h
@@ -6,8 +6,8 @@
  * are errors: conflicting or repeated lengths, a length together with a
  * transfer coding, a coding other than "chunked", bare CR or LF, folded lines,
  * white space before a colon, and in a response a status line of another form
- * than RFC 9112 defines, a status outside 100 to 599, status 101, and content
- * of 1xx or 204.
+ * than RFC 9112 defines, a status outside 100 to 599, status 101, content of
+ * 1xx or 204, and a transfer coding in HTTP/1.0.
  */
 #ifndef MIMOSA_H1_H
 #define MIMOSA_H1_H
--- a/standins/answers.h
+++ b/standins/answers.h
@@ -116,6 +116,11 @@
         "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
         "0\r\n\r\n" ANSWER_OK,
         ANSWER_BODY),
+    /* HTTP/1.0 has no transfer codings, RFC 9112, section 6.1. */
+    BAD("chunked1.0", "HTTP/1.0 200 OK\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+    BAD("chunked1.0kept", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
     /* No request asks for another protocol. */
     BAD("switching", "HTTP/1.1 101 Status\r\n\r\n" ANSWER_OK, ANSWER_BODY),
     BAD("switchingto",
