Read chunks and trailers strictly

What callers saw: a part of the content as the whole response. With "3 CRLF abcde0 CRLF CRLF" they got a complete "abc": http_parser took "de" for the end of the chunk. A large response, which is passed on while it arrives, looked complete although its framing was broken behind it. Cause: what follows the head was read by http_parser alone. Debian builds it without its strict mode, in which it checks that CR and LF are there; it skips any byte of an extension, also a bare LF, and accepts trailer fields with blanks in their names, control bytes in their values, and folded lines. Change: chunked.c decodes chunks by the grammar of RFC 9112, section 7.1, with a limit for the bytes of a size line or trailer; h1 lets http_parser skip such bodies. White space behind a size, which some servers send, is still read: it has one meaning only. The decoder reads requests too, where the same framing could hide a second request. The byte classes of names and values are shared by h1 and chunked.

--- a/src/h1.c
+++ b/src/h1.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include "httpchar.h"
+
 #define KEPT_BYTES 4096   /* of an array that is used again */
 #define BLANK_LINES_MAX 2 /* ignored before a request, RFC 9112 2.2 */
 
@@ -15,7 +17,8 @@
     return a.n == n && strncasecmp(a.p, b, n) == 0;
 }
 
-/* True for responses that end with their head, RFC 9112, section 6.3. */
+/* True for statuses whose responses end with their head, RFC 9112, section
+ * 6.3. */
 static bool
 has_no_content(const http_parser *p)
 {
@@ -24,14 +27,21 @@
             p->status_code == 304);
 }
 
+static bool
+ends_with_head(const H1 *h)
+{
+    return h->no_body || has_no_content(&h->parser);
+}
+
 static int
 on_headers_complete(http_parser *p)
 {
     H1 *h = p->data;
 
     h->has_head = true;
-    /* http_parser itself would read a body of the length that is given. */
-    return h->no_body || has_no_content(p) ? 1 : 0;
+    /* http_parser itself would read a body of the length that is given, and
+     * accept chunks whose framing is malformed. */
+    return ends_with_head(h) || h->chunked ? 1 : 0;
 }
 
 static int
@@ -48,7 +58,9 @@
 {
     H1 *h = p->data;
 
-    h->state = H1_DONE;
+    if (ends_with_head(h) || !h->chunked) {
+        h->state = H1_DONE;
+    }
     h->keep = http_should_keep_alive(p) != 0;
     http_parser_pause(p, 1);
     return 0;
@@ -72,6 +84,7 @@
     h->n_blank = 0;
     h->length = -1;
     h->chunked = false;
+    chunked_init(&h->chunks);
     h->no_body = false;
     h->keep = false;
     h->has_head = false;
@@ -140,8 +153,7 @@
 is_token(Str s)
 {
     for (size_t i = 0; i < s.n; i++) {
-        unsigned char c = (unsigned char)s.p[i];
-        if (!g_ascii_isalnum(c) && strchr("!#$%&'*+-.^_`|~", c) == NULL) {
+        if (!httpchar_is_token((unsigned char)s.p[i])) {
             return false;
         }
     }
@@ -152,8 +164,7 @@
 is_valid_value(Str v)
 {
     for (size_t i = 0; i < v.n; i++) {
-        unsigned char c = (unsigned char)v.p[i];
-        if ((c < 0x20 && c != '\t') || c == 0x7f) {
+        if (!httpchar_is_text((unsigned char)v.p[i])) {
             return false;
         }
     }
@@ -339,6 +350,26 @@
     return err_set(e, ERR_PROTOCOL, "%s", http_errno_description(err));
 }
 
+static H1State
+read_body(H1 *h, GByteArray *in, Err *e)
+{
+    size_t used;
+
+    if (h->chunked) {
+        ChunkedState s = chunked_feed(&h->chunks, in, h->body, e);
+        if (s >= CHUNKED_DONE) {
+            h->state = s == CHUNKED_DONE ? H1_DONE : H1_ERROR;
+        }
+    }
+    else if (in->len > 0) {
+        if (!execute(h, in->data, in->len, &used, e)) {
+            return fail(h, H1_ERROR);
+        }
+        g_byte_array_remove_range(in, 0, (guint)used);
+    }
+    return h->state;
+}
+
 H1State
 h1_feed(H1 *h, GByteArray *in, size_t head_max, Err *e)
 {
@@ -369,19 +400,14 @@
             return fail(h, H1_ERROR);
         }
     }
-    if (h->state == H1_BODY && in->len > 0) {
-        if (!execute(h, in->data, in->len, &used, e)) {
-            return fail(h, H1_ERROR);
-        }
-        g_byte_array_remove_range(in, 0, (guint)used);
-    }
-    return h->state;
+    return h->state == H1_BODY ? read_body(h, in, e) : h->state;
 }
 
 H1State
 h1_eof(H1 *h)
 {
-    if (h->state == H1_BODY && h->parser.type == HTTP_RESPONSE) {
+    if (h->state == H1_BODY && h->parser.type == HTTP_RESPONSE &&
+        !h->chunked) {
         http_parser_execute(&h->parser, &h1_settings, NULL, 0);
     }
     if (h->state != H1_DONE) {
--- a/src/h1.h
+++ b/src/h1.h
@@ -2,12 +2,13 @@
  * h1 - strict parser of HTTP/1.1 messages, on top of http_parser.
  *
  * http_parser accepts some messages that other parsers frame differently,
- * which allows request smuggling.  The head is therefore checked first.  These
- * are errors: conflicting or repeated lengths, a length together with a
- * transfer coding, a coding other than "chunked", bare CR or LF, folded lines,
- * white space before a colon, and in a response a status line of another form
- * than RFC 9112 defines, a status outside 100 to 599, status 101, content of
- * 1xx or 204, and a transfer coding in HTTP/1.0.
+ * which allows request smuggling.  The head is therefore checked first, and
+ * chunks are read by chunked.c.  These are errors: conflicting or repeated
+ * lengths, a length together with a transfer coding, a coding other than
+ * "chunked", bare CR or LF, folded lines, white space before a colon, and in a
+ * response a status line of another form than RFC 9112 defines, a status
+ * outside 100 to 599, status 101, content of 1xx or 204, and a transfer coding
+ * in HTTP/1.0.
  */
 #ifndef MIMOSA_H1_H
 #define MIMOSA_H1_H
@@ -19,6 +20,7 @@
 #include <glib.h>
 #include <http_parser.h>
 
+#include "chunked.h"
 #include "err.h"
 #include "str.h"
 
@@ -48,9 +50,10 @@
     int n_blank;    /* blank lines ignored before the message */
     int64_t length; /* Content-Length; -1: none */
     bool chunked;
-    bool no_body;  /* set by the owner for the response to a HEAD request */
-    bool keep;     /* the connection may be reused */
-    bool has_head; /* the head was read and is valid */
+    Chunked chunks; /* decoder of the body, if chunked */
+    bool no_body;   /* set by the owner for the response to a HEAD request */
+    bool keep;      /* the connection may be reused */
+    bool has_head;  /* the head was read and is valid */
 } H1;
 
 void h1_init(H1 *h, bool request);
--- a/src/limits.h
+++ b/src/limits.h
@@ -65,7 +65,8 @@
 
 /* Requests. */
 #define HEAD_BYTES_MAX 16384
-#define BODY_HASH_BYTES 65536 /* bytes of a body that are fingerprinted */
+#define CHUNK_FRAMING_BYTES 16384 /* a line of a chunk size, or a trailer */
+#define BODY_HASH_BYTES 65536     /* bytes of a body that are fingerprinted */
 #define BODY_BYTES_MAX (16 * 1024 * 1024)
 #define HOPS_MAX 2
 #define QUEUE_MAX 4096    /* queued requests of a service */
--- a/standins/answers.h
+++ b/standins/answers.h
@@ -23,6 +23,7 @@
         s, sizeof(s) - 1                                                      \
     }
 #define ANSWER_BODY "Content-Length: 3\r\n\r\nabc"
+#define ANSWER_CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define ANSWER_OK "HTTP/1.1 200 OK\r\n"
 
 /* Malformed by the start line, by a line before the headers of the answer or
@@ -30,6 +31,7 @@
 #define BAD_START(name, line) BAD(name, line "\r\n", ANSWER_BODY)
 #define BAD_FIRST(name, line) BAD(name, ANSWER_OK line "\r\n", ANSWER_BODY)
 #define BAD_LINE(name, line) BAD(name, ANSWER_OK, line "\r\n" ANSWER_BODY)
+#define BAD_CHUNKS(name, chunks) BAD(name, ANSWER_OK, ANSWER_CHUNKED chunks)
 #define BAD(name, before, after)                                              \
     {                                                                         \
         name, 0, "", ANSWER_STR(before), ANSWER_STR(after)                    \
@@ -109,18 +111,46 @@
     /* Content of responses that have none. */
     BAD("nocontentlength", "HTTP/1.1 204 No Content\r\n", ANSWER_BODY),
     BAD("nocontentchunked", "HTTP/1.1 204 No Content\r\n",
-        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+        ANSWER_CHUNKED "3\r\nabc\r\n0\r\n\r\n"),
     BAD("interimlength", "HTTP/1.1 103 Early Hints\r\n" ANSWER_BODY ANSWER_OK,
         ANSWER_BODY),
     BAD("interimchunked",
         "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
         "0\r\n\r\n" ANSWER_OK,
         ANSWER_BODY),
+    /* Sizes of chunks that are none, or not those of their bytes. */
+    BAD_CHUNKS("chunkshort", "3\r\nabcde0\r\n\r\n"),
+    BAD_CHUNKS("chunkend", "3\r\nabcxy0\r\n\r\n"),
+    BAD_CHUNKS("chunkendlf", "3\r\nabc\n\n0\r\n\r\n"),
+    BAD_CHUNKS("chunklong", "4\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("chunksizecr", "3\rxabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("chunksizelf", "3\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("chunksizetext", "3 z\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("chunksizenone", ";x\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("chunksizeempty", "\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("chunksizesign", "+3\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("chunksizeprefix", "0x3\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("chunksizehuge", "10000000000000003\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("chunksizenegative", "ffffffffffffffff\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("extensionlf", "3;\nxx\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("extensionnul", "3;x\0y\r\nabc\r\n0\r\n\r\n"),
+    BAD_CHUNKS("lastcr", "3\r\nabc\r\n0\rx\r\n"),
+    BAD_CHUNKS("lastlf", "3\r\nabc\r\n0\r\n\n"),
+    BAD_CHUNKS("lastlinecr", "3\r\nabc\r\n0\r\n\rx"),
+    /* The rules of header lines hold for those of a trailer. */
+    BAD_CHUNKS("trailerblank", "3\r\nabc\r\n0\r\nX A: b\r\n\r\n"),
+    BAD_CHUNKS("trailercontrol", "3\r\nabc\r\n0\r\nX\001A: b\r\n\r\n"),
+    BAD_CHUNKS("trailernul", "3\r\nabc\r\n0\r\nX\0A: b\r\n\r\n"),
+    BAD_CHUNKS("trailerempty", "3\r\nabc\r\n0\r\n: b\r\n\r\n"),
+    BAD_CHUNKS("trailernocolon", "3\r\nabc\r\n0\r\nXA\r\n\r\n"),
+    BAD_CHUNKS("trailervalue", "3\r\nabc\r\n0\r\nXA: \001\r\n\r\n"),
+    BAD_CHUNKS("trailerlf", "3\r\nabc\r\n0\r\nXA: b\n\r\n"),
+    BAD_CHUNKS("trailerfold", "3\r\nabc\r\n0\r\nXA: b\r\n c\r\n\r\n"),
     /* HTTP/1.0 has no transfer codings, RFC 9112, section 6.1. */
-    BAD("chunked1.0", "HTTP/1.0 200 OK\r\n",
-        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
-    BAD("chunked1.0kept", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n",
-        "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"),
+    BAD("coding1.0", "HTTP/1.0 200 OK\r\n",
+        ANSWER_CHUNKED "3\r\nabc\r\n0\r\n\r\n"),
+    BAD("coding1.0kept", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n",
+        ANSWER_CHUNKED "3\r\nabc\r\n0\r\n\r\n"),
     /* No request asks for another protocol. */
     BAD("switching", "HTTP/1.1 101 Status\r\n\r\n" ANSWER_OK, ANSWER_BODY),
     BAD("switchingto",
@@ -139,6 +169,14 @@
     GOOD("highest", 599, "abc", "HTTP/1.1 599 Status\r\n", ANSWER_BODY),
     GOOD("interim", 200, "abc",
          "HTTP/1.1 103 Early Hints\r\nXA: b\r\n\r\n" ANSWER_OK, ANSWER_BODY),
+    GOOD("chunks", 200, "abc", ANSWER_OK,
+         ANSWER_CHUNKED "1\r\na\r\n002\r\nbc\r\n0\r\n\r\n"),
+    GOOD("extension", 200, "abc", ANSWER_OK,
+         ANSWER_CHUNKED "3 ;a=\"b c\";d\r\nabc\r\n0;e\r\n\r\n"),
+    GOOD("sizeblank", 200, "abc", ANSWER_OK,
+         ANSWER_CHUNKED "3 \r\nabc\r\n0 \r\n\r\n"),
+    GOOD("trailer", 200, "abc", ANSWER_OK,
+         ANSWER_CHUNKED "3\r\nabc\r\n0\r\nXA: b\r\nXB:\r\n\r\n"),
     GOOD("nocontent", 204, "", "HTTP/1.1 204 No Content\r\n", "\r\n"),
     GOOD("nocontent0", 204, "", "HTTP/1.1 204 No Content\r\n",
          "Content-Length: 0\r\n\r\n"),
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -55,6 +55,12 @@
         "GET / HTTP/1.1\r\nA: b\rC: d\r\n\r\n",
         "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
         "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n-1\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1\r\nabc0\r\n\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "1;\nb\r\na\r\n0\r\n\r\n",
+        "GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "0\r\nA B: c\r\n\r\n",
         "GET  HTTP/1.1\r\n\r\n",
         "nonsense\r\n\r\n",
     };
