Skip interim answers of the store

What callers would see: nothing at once. A call of the store that got an interim answer, such as 103, ended with that status and was repeated later; the connection was kept, and the final answer, if it came after the next call had been written, was read as the answer to that one: a list for a watch, or a granted lease for a write. Cause: kv.c took the first complete message for the answer; only uconn.c skipped interim ones. Change: h1_feed_final() skips them for both. No store of the users is known to send interim answers.

--- a/src/h1.c
+++ b/src/h1.c
@@ -403,6 +403,20 @@
     return h->state == H1_BODY ? read_body(h, in, e) : h->state;
 }
 
+H1State
+h1_feed_final(H1 *h, GByteArray *in, size_t head_max, Err *e)
+{
+    bool no_body = h->no_body;
+    H1State s = h1_feed(h, in, head_max, e);
+
+    while (s == H1_DONE && h->parser.status_code / 100 == 1) {
+        h1_next(h);
+        h->no_body = no_body;
+        s = h1_feed(h, in, head_max, e);
+    }
+    return s;
+}
+
 H1State
 h1_eof(H1 *h)
 {
--- a/src/h1.h
+++ b/src/h1.h
@@ -68,6 +68,10 @@
  */
 H1State h1_feed(H1 *h, GByteArray *in, size_t head_max, Err *e);
 
+/* As h1_feed() for a response, but skips the interim (1xx) responses before
+ * the final one. */
+H1State h1_feed_final(H1 *h, GByteArray *in, size_t head_max, Err *e);
+
 /* Handles the end of the connection.  Returns H1_DONE if the message is
  * complete or a response that is delimited by the end of the connection, else
  * H1_ERROR. */
--- a/src/kv.c
+++ b/src/kv.c
@@ -102,7 +102,7 @@
         return;
     }
     if (ev == STRM_READABLE) {
-        H1State st = h1_feed(&c->answer, c->strm.in, HEAD_MAX, &e);
+        H1State st = h1_feed_final(&c->answer, c->strm.in, HEAD_MAX, &e);
         if (st == H1_DONE) {
             finish(c, (int)c->answer.parser.status_code);
         }
--- a/src/uconn.c
+++ b/src/uconn.c
@@ -96,13 +96,8 @@
     guint before = c->response.body->len;
 
     c->response.no_body = c->head_request;
-    H1State st = h1_feed(&c->response, c->strm.in, RESPONSE_HEAD_BYTES, &e);
-    /* Skips interim (1xx) responses, which do not end the request. */
-    while (st == H1_DONE && c->response.parser.status_code / 100 == 1) {
-        h1_next(&c->response);
-        c->response.no_body = c->head_request;
-        st = h1_feed(&c->response, c->strm.in, RESPONSE_HEAD_BYTES, &e);
-    }
+    H1State st =
+        h1_feed_final(&c->response, c->strm.in, RESPONSE_HEAD_BYTES, &e);
     if (st == H1_ERROR || st == H1_TOO_LARGE) {
         notify(c, UCONN_INVALID);
     }
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -274,11 +274,7 @@
     for (size_t at = 0; at < g->len && s < H1_DONE; at += piece) {
         g_byte_array_append(in, (guint8 *)g->str + at,
                             (guint)MIN(piece, g->len - at));
-        s = h1_feed(&h, in, HEAD_MAX, &e);
-        while (s == H1_DONE && h.parser.status_code / 100 == 1) {
-            h1_next(&h);
-            s = h1_feed(&h, in, HEAD_MAX, &e);
-        }
+        s = h1_feed_final(&h, in, HEAD_MAX, &e);
     }
     if (s < H1_DONE) {
         s = h1_eof(&h);
--- /dev/null
+++ b/tests/test_kv.c
@@ -0,0 +1,159 @@
+/* Tests of answers of the store, whose side the test plays on a loopback
+ * socket. */
+#include "t.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "answers.h"
+#include "kv.h"
+
+#define STEP_US 20000
+#define CALL_US 1000000
+#define NONE (-100) /* no call has ended */
+
+typedef struct World {
+    Evl *loop;
+    int listener;
+    KvConn *conn;
+    int status; /* of the last call */
+    char body[64];
+    EvlTimer end;
+} World;
+
+static void
+stop_loop(void *ctx, int64_t now_us)
+{
+    (void)now_us;
+    evl_stop(ctx);
+}
+
+static void
+run(World *w)
+{
+    w->end = (EvlTimer){.fn = stop_loop, .ctx = w->loop};
+    evl_arm(w->loop, &w->end, evl_now(w->loop) + STEP_US);
+    evl_run(w->loop);
+}
+
+static void
+setup(World *w)
+{
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t n = sizeof(at);
+
+    memset(w, 0, sizeof(*w));
+    w->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    ck_assert_int_eq(bind(w->listener, (struct sockaddr *)&at, n), 0);
+    ck_assert_int_eq(listen(w->listener, 8), 0);
+    getsockname(w->listener, (struct sockaddr *)&at, &n);
+    w->loop = evl_new();
+    w->conn = kv_new(w->loop, &at);
+}
+
+static void
+teardown(World *w)
+{
+    kv_free(w->conn);
+    evl_run_once(w->loop, 0);
+    evl_free(w->loop);
+    close(w->listener);
+}
+
+static void
+on_done(void *ctx, int status, Str body, int64_t now_us)
+{
+    World *w = ctx;
+    (void)now_us;
+
+    ck_assert_int_eq(w->status, NONE);
+    w->status = status;
+    str_copy(w->body, sizeof(w->body), body);
+}
+
+/* Starts a call and returns the store's side of a new connection, on which the
+ * request was read, or -1. */
+static int
+call(World *w)
+{
+    char buf[64];
+
+    w->status = NONE;
+    w->body[0] = '\0';
+    kv_call(w->conn, g_string_new("GET / HTTP/1.1\r\n\r\n"), CALL_US, on_done,
+            w);
+    run(w);
+    int fd = accept(w->listener, NULL, NULL);
+    ck_assert(fd < 0 || recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0);
+    return fd;
+}
+
+static void
+answer(World *w, int fd, Str text)
+{
+    ck_assert_int_eq(send(fd, text.p, text.n, MSG_NOSIGNAL), (ssize_t)text.n);
+    run(w);
+}
+
+/* Guards against an interim answer that ends a call: the final one would
+ * answer the next call on the connection. */
+START_TEST(an_interim_answer_does_not_end_a_call)
+{
+    World w;
+
+    setup(&w);
+    int fd = call(&w);
+    answer(&w, fd, str_of("HTTP/1.1 103 Early Hints\r\n\r\n"));
+    ck_assert_int_eq(w.status, NONE);
+    answer(&w, fd, str_of(ANSWER_OK ANSWER_BODY));
+    ck_assert_int_eq(w.status, 200);
+    ck_assert_str_eq(w.body, "abc");
+    ck_assert_int_eq(call(&w), -1); /* on the same connection */
+    answer(&w, fd, str_of(ANSWER_OK "Content-Length: 3\r\n\r\ndef"));
+    ck_assert_str_eq(w.body, "def");
+    close(fd);
+    teardown(&w);
+}
+END_TEST
+
+/* Guards against a malformed answer that counts as one, and against a
+ * connection that is used again after it. */
+START_TEST(a_malformed_answer_counts_as_none)
+{
+    World w;
+    char byte;
+
+    setup(&w);
+    for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+        const Answer *a = &answers[i];
+        int fd = call(&w);
+        ck_assert_msg(fd >= 0, "%s", a->name);
+        GString *text = g_string_new_len(a->before.p, (gssize)a->before.n);
+        g_string_append_len(text, a->after.p, (gssize)a->after.n);
+        answer(&w, fd, (Str){text->str, text->len});
+        g_string_free(text, TRUE);
+        if (a->status == 0) {
+            ck_assert_msg(w.status == KV_NO_ANSWER, "%s: %d", a->name,
+                          w.status);
+            ck_assert_msg(recv(fd, &byte, 1, MSG_DONTWAIT) < 0 &&
+                              errno == ECONNRESET,
+                          "%s: not closed", a->name);
+        }
+        else {
+            ck_assert_msg(w.status == a->status, "%s: %d", a->name, w.status);
+            ck_assert_msg(strcmp(w.body, a->body) == 0, "%s: %s", a->name,
+                          w.body);
+        }
+        kv_disconnect(w.conn);
+        close(fd);
+    }
+    teardown(&w);
+}
+END_TEST
+
+T_MAIN("kv", an_interim_answer_does_not_end_a_call,
+       a_malformed_answer_counts_as_none)
