Log why an answer was malformed

What operators saw: "upstream_failed" for a malformed response, as for one that was lost, and status 0 for a call of the store; the reason that h1 had found was dropped. Cause: uconn and kv gave the error to nobody. Change: uconn keeps it; px logs event=malformed_response with it, once a second and upstream with the number of such responses; kv logs event=malformed_answer. mimosa-entry gives it in place of "the answer is not HTTP".

--- a/src/entry_up.c
+++ b/src/entry_up.c
@@ -432,7 +432,7 @@
         break;
     case UCONN_INVALID:
         end_with(c, c->sent ? CALL_CLOSED : CALL_NOT_SENT,
-                 "the answer is not HTTP");
+                 uconn_error(c->conn));
         break;
     case UCONN_SENDING:
     case UCONN_FLUSHED:
--- a/src/kv.c
+++ b/src/kv.c
@@ -19,6 +19,7 @@
 
 struct KvConn {
     Evl *loop;
+    Dlog *log;
     struct sockaddr_in at;
     Strm strm;
     bool open;
@@ -84,6 +85,16 @@
     finish(c, !c->open || c->strm.connecting ? KV_NOT_SENT : KV_NO_ANSWER);
 }
 
+static void
+log_malformed(const KvConn *c, const Err *e)
+{
+    if (c->log != NULL) {
+        dlog_event(c->log, DLOG_WARN, "store",
+                   "event=malformed_answer error=\"%s\"",
+                   dlog_quoted(e->text).s);
+    }
+}
+
 static void
 on_stream(void *ctx, StrmEvent ev)
 {
@@ -107,6 +118,7 @@
             finish(c, (int)c->answer.parser.status_code);
         }
         else if (st == H1_ERROR || st == H1_TOO_LARGE) {
+            log_malformed(c, &e);
             finish(c, KV_NO_ANSWER);
         }
         else if (c->answer.body->len > ANSWER_BYTES_MAX) {
@@ -135,11 +147,12 @@
 }
 
 KvConn *
-kv_new(Evl *loop, const struct sockaddr_in *at)
+kv_new(Evl *loop, const struct sockaddr_in *at, Dlog *log)
 {
     KvConn *c = g_new0(KvConn, 1);
 
     c->loop = loop;
+    c->log = log;
     c->at = *at;
     h1_init(&c->answer, false);
     c->timer = (EvlTimer){.fn = on_timeout, .ctx = c};
--- a/src/kv.h
+++ b/src/kv.h
@@ -14,6 +14,7 @@
 
 #include <glib.h>
 
+#include "dlog.h"
 #include "err.h"
 #include "evl.h"
 #include "str.h"
@@ -70,7 +71,8 @@
 
 typedef struct KvConn KvConn;
 
-KvConn *kv_new(Evl *loop, const struct sockaddr_in *at);
+/* log: of malformed answers, which count as none; may be NULL. */
+KvConn *kv_new(Evl *loop, const struct sockaddr_in *at, Dlog *log);
 void kv_free(KvConn *c);
 bool kv_busy(const KvConn *c);
 
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -411,7 +411,7 @@
         Feed *f = &m->feeds[i];
         f->m = m;
         f->prefix = o->prefixes[i];
-        f->conn = kv_new(o->loop, &o->store);
+        f->conn = kv_new(o->loop, &o->store, o->log);
         f->cache = kvcache_new(on_key, f);
         f->pages = (KvPages){o->codec, o->log, f->prefix, 0};
         ResyncOpts go = {.loop = o->loop,
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -26,6 +26,7 @@
  * upstream that is cold takes about 3 times the usual. */
 #define OVERDUE_FACTOR 4.0
 #define CHECK_INTERVAL_US 500000 /* between checks whether it is down */
+#define MALFORMED_US 1000000     /* between log lines about an upstream */
 #define COLD_VMS 4               /* VMs that may use one cold upstream */
 
 /* A request may overflow to another region if it can be served there before
@@ -367,6 +368,24 @@
     }
 }
 
+/* Logs why the response is malformed, once per interval and upstream. */
+static void
+log_malformed(const Req *r, int64_t now_us)
+{
+    Ups *u = r->u;
+
+    u->n_malformed++;
+    if (u->malformed_us == 0 || now_us - u->malformed_us >= MALFORMED_US) {
+        dlog_event(r->p->o.log, DLOG_WARN, "upstream",
+                   "id=%s event=malformed_response request=%s error=\"%s\" "
+                   "responses=%d",
+                   u->id, dlog_name(r->attempt).s,
+                   dlog_quoted(uconn_error(r->conn)).s, u->n_malformed);
+        u->malformed_us = now_us;
+        u->n_malformed = 0;
+    }
+}
+
 static void
 on_upstream(void *ctx, UconnEvent ev, int64_t now_us)
 {
@@ -385,6 +404,7 @@
         attempt_ended(r, UP_NOT_SENT, now_us);
         break;
     case UCONN_INVALID:
+        log_malformed(r, now_us);
         ups_observe_lost(r->u, now_us);
         attempt_ended(r, end == UP_TRUNCATED ? UP_TRUNCATED : UP_INVALID,
                       now_us);
--- a/src/registration.c
+++ b/src/registration.c
@@ -168,7 +168,7 @@
     Registration *r = g_new0(Registration, 1);
 
     r->o = *o;
-    r->conn = kv_new(o->loop, &o->store);
+    r->conn = kv_new(o->loop, &o->store, o->log);
     r->timer = (EvlTimer){.fn = on_timer, .ctx = r};
     return r;
 }
--- a/src/resync.c
+++ b/src/resync.c
@@ -128,7 +128,7 @@
     Resync *g = g_new0(Resync, 1);
 
     g->o = *o;
-    g->conn = kv_new(o->loop, &o->store);
+    g->conn = kv_new(o->loop, &o->store, o->log);
     g->timer = (EvlTimer){.fn = on_timer, .ctx = g};
     return g;
 }
--- a/src/uconn.c
+++ b/src/uconn.c
@@ -24,6 +24,7 @@
     Ups *u;
     Strm strm;
     H1 response;
+    Err error; /* reason of UCONN_INVALID */
     UconnFn fn;
     void *ctx;
     GByteArray *queued; /* written once connected */
@@ -92,12 +93,11 @@
 static void
 read_response(Uconn *c)
 {
-    Err e = {0};
     guint before = c->response.body->len;
 
     c->response.no_body = c->head_request;
-    H1State st =
-        h1_feed_final(&c->response, c->strm.in, RESPONSE_HEAD_BYTES, &e);
+    H1State st = h1_feed_final(&c->response, c->strm.in, RESPONSE_HEAD_BYTES,
+                               &c->error);
     if (st == H1_ERROR || st == H1_TOO_LARGE) {
         notify(c, UCONN_INVALID);
     }
@@ -194,6 +194,8 @@
                 close_conn(c);
             }
             else {
+                err_set(&c->error, ERR_PROTOCOL,
+                        "bytes arrived before a request was sent");
                 notify(c, UCONN_INVALID);
             }
             break;
@@ -393,6 +395,12 @@
     return c->boot_ms == c->u->boot_ms;
 }
 
+const char *
+uconn_error(const Uconn *c)
+{
+    return c->error.text;
+}
+
 H1 *
 uconn_response(Uconn *c)
 {
--- a/src/uconn.h
+++ b/src/uconn.h
@@ -68,6 +68,9 @@
 /* False if the upstream has restarted since the connection was opened. */
 bool uconn_is_current(const Uconn *c);
 
+/* Reason of UCONN_INVALID, or an empty text. */
+const char *uconn_error(const Uconn *c);
+
 /* The response as far as it has arrived; the caller may remove bytes from its
  * body. */
 H1 *uconn_response(Uconn *c);
--- a/src/ups.h
+++ b/src/ups.h
@@ -85,6 +85,8 @@
     int64_t sent_us;        /* last request of this VM; 0: none */
     int64_t sent_before_us; /* the request before that; 0: none */
     int64_t checked_us;     /* last check whether it is down; 0: none */
+    int64_t malformed_us;   /* last line about a malformed response; 0: none */
+    int n_malformed;        /* malformed responses since that line */
     int64_t spare_us;       /* last spare connection opened; 0: none */
     int64_t keep_us;   /* time for which an idle connection may be used, by its
                           last response; 0: not known */
--- a/tests/platform_answers.sh
+++ b/tests/platform_answers.sh
@@ -63,5 +63,9 @@
     done
 done
 echo "answers: $malformed malformed of $n"
+# Guards against a failure whose reason no line tells.  There is a line for each
+# second and upstream.
+grep -q 'event=malformed_response .*error="status line' "$dir/vm1.log" ||
+    check logged no yes
 [ "$malformed" -gt 0 ] || check answers "$malformed" "over 0"
 finish
--- a/tests/soak_edge.c
+++ b/tests/soak_edge.c
@@ -228,7 +228,7 @@
     g_usleep(200000);
     snprintf(to, sizeof(to), "127.0.0.1:%d", w->port);
     strm_parse_addr(str_of(to), &store);
-    w->control = kv_new(w->loop, &store);
+    w->control = kv_new(w->loop, &store, NULL);
     w->control_retry = (EvlTimer){.fn = on_control_retry, .ctx = w};
     if (!w->late_config) {
         change_config(w);
--- a/tests/test_kv.c
+++ b/tests/test_kv.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,6 +18,8 @@
 
 typedef struct World {
     Evl *loop;
+    FILE *lines; /* of the log */
+    Dlog *log;
     int listener;
     KvConn *conn;
     int status; /* of the last call */
@@ -52,7 +55,10 @@
     ck_assert_int_eq(listen(w->listener, 8), 0);
     getsockname(w->listener, (struct sockaddr *)&at, &n);
     w->loop = evl_new();
-    w->conn = kv_new(w->loop, &at);
+    w->lines = tmpfile();
+    DlogOpts lo = {fileno(w->lines), 100, 65536};
+    w->log = dlog_new(&lo);
+    w->conn = kv_new(w->loop, &at, w->log);
 }
 
 static void
@@ -60,10 +66,27 @@
 {
     kv_free(w->conn);
     evl_run_once(w->loop, 0);
+    dlog_free(w->log);
+    fclose(w->lines);
     evl_free(w->loop);
     close(w->listener);
 }
 
+/* Number of log lines that contain a text. */
+static int
+count_lines(World *w, const char *text)
+{
+    char line[1024];
+    int n = 0;
+
+    dlog_flush(w->log);
+    rewind(w->lines);
+    while (fgets(line, sizeof(line), w->lines) != NULL) {
+        n += strstr(line, text) != NULL ? 1 : 0;
+    }
+    return n;
+}
+
 static void
 on_done(void *ctx, int status, Str body, int64_t now_us)
 {
@@ -120,12 +143,14 @@
 }
 END_TEST
 
-/* Guards against a malformed answer that counts as one, and against a
- * connection that is used again after it. */
+/* Guards against a malformed answer that counts as one, against a connection
+ * that is used again after it, and against a failure whose reason no line
+ * tells. */
 START_TEST(a_malformed_answer_counts_as_none)
 {
     World w;
     char byte;
+    int n = 0;
 
     setup(&w);
     for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
@@ -137,6 +162,7 @@
         answer(&w, fd, (Str){text->str, text->len});
         g_string_free(text, TRUE);
         if (a->status == 0) {
+            n++;
             ck_assert_msg(w.status == KV_NO_ANSWER, "%s: %d", a->name,
                           w.status);
             ck_assert_msg(recv(fd, &byte, 1, MSG_DONTWAIT) < 0 &&
@@ -151,6 +177,7 @@
         kv_disconnect(w.conn);
         close(fd);
     }
+    ck_assert_int_eq(count_lines(&w, "event=malformed_answer error=\""), n);
     teardown(&w);
 }
 END_TEST
