Read answers of the store by h1 in storehttp

What callers would see: nothing at once; mimosa-control and mimosactl used answers of the store that are none: a status line "HTTP/1.1 200", an answer without the header line whose name holds a blank (Store-Version, by which writes are compared, would count as 0; a length would be left out and the end of the connection taken for the end of the content), chunks cut short. Cause: libsoup leaves malformed header lines out and reads the rest. Change: storehttp makes its calls by entry_up, whose connections read answers by h1, as mimosa-entry does towards upstreams. Limits, time-outs, the rate and the backoff stay.

--- a/src/storehttp.c
+++ b/src/storehttp.c
@@ -1,9 +1,11 @@
 /* storehttp - asynchronous calls to the store over HTTP.  See storehttp.h. */
 #include "storehttp.h"
 
-#include <libsoup/soup.h>
+#include <string.h>
 
+#include "entry_up.h"
 #include "limits.h"
+#include "loopsrc.h"
 #include "str.h"
 
 #define CONNECTIONS_MAX 4
@@ -11,23 +13,24 @@
 
 struct StoreHttp {
     char address[ADDR_BYTES];
-    SoupSession *session;
+    UpPool *pool;
     StoreLimit *q;
     GRand *rnd;
-    bool cut;    /* an injected fault is active */
-    bool freed;  /* storehttp_free() was called; do not call callbacks */
-    int n_calls; /* outstanding calls */
+    bool cut;     /* an injected fault is active */
+    GQueue calls; /* StoreCall, outstanding */
 };
 
-typedef struct Call {
+typedef struct StoreCall {
     StoreHttp *s;
-    SoupMessage *msg;
-    GCancellable *cancel;
+    Call *call;
     GSource *timer;
+    GByteArray *body;
+    StoreAnswer answer;
+    Err error; /* found in the head of the answer */
     StoreDone done;
     void *ctx;
-    int64_t asked_us;
-} Call;
+    GList link; /* in StoreHttp.calls */
+} StoreCall;
 
 StoreHttp *
 storehttp_new(const char *address, StoreLimit *q, GRand *rnd)
@@ -35,124 +38,145 @@
     StoreHttp *s = g_new0(StoreHttp, 1);
 
     g_strlcpy(s->address, address, sizeof(s->address));
-    s->session = soup_session_new_with_options("max-conns", CONNECTIONS_MAX,
-                                               "max-conns-per-host",
-                                               CONNECTIONS_MAX, NULL);
-    soup_session_remove_feature_by_type(s->session, SOUP_TYPE_CONTENT_DECODER);
+    s->pool = up_pool_new();
     s->q = q;
     s->rnd = rnd;
+    g_queue_init(&s->calls);
     return s;
 }
 
 static void
-free_when_idle(StoreHttp *s)
+store_call_free(StoreCall *c)
 {
-    if (s->freed && s->n_calls == 0) {
-        g_object_unref(s->session);
-        g_free(s);
-    }
+    src_end(&c->timer);
+    g_byte_array_unref(c->body);
+    g_free(c);
 }
 
 void
 storehttp_free(StoreHttp *s)
 {
-    if (s != NULL) {
-        s->freed = true;
-        soup_session_abort(s->session);
-        free_when_idle(s);
+    if (s == NULL) {
+        return;
+    }
+    for (GList *l; (l = g_queue_pop_head_link(&s->calls)) != NULL;) {
+        StoreCall *c = l->data;
+        call_cancel(c->call);
+        store_call_free(c);
     }
+    up_pool_free(s->pool);
+    g_free(s);
 }
 
 void
 storehttp_cut(StoreHttp *s, bool cut)
 {
-    if (cut && !s->cut) {
-        soup_session_abort(s->session);
+    /* The calls end as if their time was over, outside of this function. */
+    for (GList *l = s->calls.head; cut && !s->cut && l != NULL; l = l->next) {
+        g_source_set_ready_time(((StoreCall *)l->data)->timer, 0);
     }
     s->cut = cut;
 }
 
+/* Ends a call.  ok: a usable answer was read. */
 static void
-call_free(Call *c)
+finish(StoreCall *c, bool ok)
 {
-    g_source_destroy(c->timer);
-    g_source_unref(c->timer);
-    g_object_unref(c->msg);
-    g_object_unref(c->cancel);
-    c->s->n_calls--;
-    free_when_idle(c->s);
-    g_free(c);
+    StoreHttp *s = c->s;
+    StoreAnswer a = c->answer;
+    Err e = c->error;
+    StoreDone done = c->done;
+    void *ctx = c->ctx;
+
+    a.body = g_bytes_new(c->body->data, c->body->len);
+    g_queue_unlink(&s->calls, &c->link);
+    store_call_free(c);
+    if (ok) {
+        storelimit_ok(s->q);
+    }
+    else {
+        a.status = 0;
+        storelimit_fail(s->q, s->rnd, g_get_monotonic_time());
+    }
+    done(ctx, &a, &e);
+    g_bytes_unref(a.body);
+}
+
+static void
+fill(void *ctx, SoupMessageHeaders *h)
+{
+    (void)ctx;
+    (void)h;
 }
 
-/* Checks the answer's head and size.  Errors: ERR_PROTOCOL. */
 static bool
-read_answer(StoreAnswer *a, SoupMessage *msg, Err *e)
+may_send(void *ctx)
+{
+    (void)ctx;
+    return true;
+}
+
+static void
+on_head(void *ctx, int status, SoupMessageHeaders *h)
 {
-    SoupMessageHeaders *h = soup_message_get_response_headers(msg);
+    StoreCall *c = ctx;
     const char *v = soup_message_headers_get_one(h, "Store-Version");
 
-    a->status = (int)soup_message_get_status(msg);
-    if (v != NULL && !str_u64(str_of(v), UINT64_MAX, &a->version)) {
-        return err_set(
-            e, ERR_PROTOCOL,
-            "Store-Version \"%.40s\" of the store is no decimal number; "
-            "check [store] address",
-            v);
-    }
-    if (g_bytes_get_size(a->body) > STORE_VALUE_BYTES_MAX) {
-        return err_set(e, ERR_PROTOCOL,
-                       "answer of the store has %zu bytes; allowed are %d; "
-                       "check [store] address",
-                       g_bytes_get_size(a->body), STORE_VALUE_BYTES_MAX);
+    c->answer.status = status;
+    if (v != NULL && !str_u64(str_of(v), UINT64_MAX, &c->answer.version)) {
+        err_set(&c->error, ERR_PROTOCOL,
+                "Store-Version \"%.40s\" of the store is no decimal number; "
+                "check [store] address",
+                v);
     }
-    if (a->status >= STATUS_FAILED_MIN) {
-        return err_set(e, ERR_UNAVAILABLE,
-                       "the store answers with status %d; asked again later",
-                       a->status);
+    else if (status >= STATUS_FAILED_MIN) {
+        err_set(&c->error, ERR_UNAVAILABLE,
+                "the store answers with status %d; asked again later", status);
     }
-    return true;
 }
 
 static void
-on_response(GObject *src, GAsyncResult *res, gpointer p)
+on_data(void *ctx, GBytes *data)
 {
-    Call *c = p;
-    StoreHttp *s = c->s;
-    StoreAnswer a = {.sent_us = c->asked_us};
-    GError *ge = NULL;
-    Err e = {0};
-
-    a.body = soup_session_send_and_read_finish(SOUP_SESSION(src), res, &ge);
-    bool ok = a.body != NULL && !s->cut && read_answer(&a, c->msg, &e);
-    if (ge != NULL) {
-        err_set(&e, ERR_UNAVAILABLE, "store %s: %s; asked again later",
-                s->address, ge->message);
-        g_error_free(ge);
+    StoreCall *c = ctx;
+    gsize n;
+    const guint8 *p = g_bytes_get_data(data, &n);
+
+    g_byte_array_append(c->body, p, (guint)n);
+    g_bytes_unref(data);
+    if (c->body->len <= STORE_VALUE_BYTES_MAX) {
+        call_more(c->call);
+        return;
     }
-    if (!ok) {
-        a.status = 0;
-    }
-    if (!s->freed) {
-        if (ok) {
-            storelimit_ok(s->q);
-        }
-        else {
-            storelimit_fail(s->q, s->rnd, g_get_monotonic_time());
-        }
-        c->done(c->ctx, &a, &e);
-    }
-    if (a.body != NULL) {
-        g_bytes_unref(a.body);
+    err_set(&c->error, ERR_PROTOCOL,
+            "answer of the store has over %d bytes, which are allowed; "
+            "check [store] address",
+            STORE_VALUE_BYTES_MAX);
+    call_cancel(c->call);
+    finish(c, false);
+}
+
+static void
+on_end(void *ctx, CallEnd how, const char *why)
+{
+    StoreCall *c = ctx;
+
+    if (how != CALL_DONE) {
+        err_set(&c->error, ERR_UNAVAILABLE, "store %s: %s; asked again later",
+                c->s->address, why);
     }
-    call_free(c);
+    finish(c, c->error.kind == ERR_NONE && !c->s->cut);
 }
 
 static gboolean
 on_timeout(gpointer p)
 {
-    Call *c = p;
+    StoreCall *c = p;
 
-    g_cancellable_cancel(c->cancel);
+    err_set(&c->error, ERR_UNAVAILABLE,
+            "store %s: no answer in time; asked again later", c->s->address);
+    call_cancel(c->call);
+    finish(c, false);
     return G_SOURCE_REMOVE;
 }
 
@@ -161,6 +185,18 @@
                GBytes *body, unsigned timeout_ms, StoreDone done, void *ctx)
 {
     int64_t now = g_get_monotonic_time();
+    CallOpts o = {.address = s->address,
+                  .connections = CONNECTIONS_MAX,
+                  .method = method,
+                  .path = path,
+                  .content_type = "application/octet-stream",
+                  .body = body,
+                  .body_fd = -1,
+                  .fill = fill,
+                  .may_send = may_send,
+                  .on_head = on_head,
+                  .on_data = on_data,
+                  .on_end = on_end};
 
     if (!storelimit_take(s->q, now, NULL)) {
         return false;
@@ -169,29 +205,16 @@
         storelimit_fail(s->q, s->rnd, now);
         return false;
     }
-    char *uri = g_strdup_printf("http://%s%s", s->address, path);
-    Call *c = g_new0(Call, 1);
+    StoreCall *c = g_new0(StoreCall, 1);
     c->s = s;
-    c->msg = soup_message_new(method, uri);
-    g_free(uri);
-    if (c->msg == NULL) {
-        g_free(c);
-        storelimit_fail(s->q, s->rnd, now);
-        return false;
-    }
-    c->cancel = g_cancellable_new();
-    c->timer = g_timeout_source_new(timeout_ms);
+    c->body = g_byte_array_new();
+    c->answer.sent_us = now;
     c->done = done;
     c->ctx = ctx;
-    c->asked_us = now;
-    s->n_calls++;
-    g_source_set_callback(c->timer, on_timeout, c, NULL);
-    g_source_attach(c->timer, g_main_context_get_thread_default());
-    if (body != NULL) {
-        soup_message_set_request_body_from_bytes(
-            c->msg, "application/octet-stream", body);
-    }
-    soup_session_send_and_read_async(s->session, c->msg, G_PRIORITY_DEFAULT,
-                                     c->cancel, on_response, c);
+    c->link.data = c;
+    g_queue_push_tail_link(&s->calls, &c->link);
+    c->timer = src_timeout(timeout_ms, on_timeout, c);
+    o.ctx = c;
+    c->call = call_start(s->pool, &o);
     return true;
 }
--- a/src/storehttp.h
+++ b/src/storehttp.h
@@ -1,6 +1,9 @@
 /*
  * storehttp - asynchronous calls to the store over HTTP.
  *
+ * Answers are read by h1, so that a malformed one is none; libsoup leaves
+ * malformed header lines out and reads the rest.
+ *
  * Every call takes a token of the node's StoreLimit.  A call without an answer
  * within its time-out, or with a status of 500 or more, has failed and starts
  * the backoff.
@@ -40,7 +43,7 @@
 /*
  * Starts a call; path begins with "/", body may be NULL.  Returns false, and
  * does not call done, if the budget or the backoff does not allow a call now,
- * during an injected fault, or if the URI is invalid.
+ * or during an injected fault.
  */
 bool storehttp_call(StoreHttp *s, const char *method, const char *path,
                     GBytes *body, unsigned timeout_ms, StoreDone done,
