Let the fuzzer check that answers are well-formed

Cause: fuzz_answers compared readings in pieces and sizes only, so it accepted any status and any framing that http_parser accepts. Change: a second reader, which knows the grammar of RFC 9112 only, reads each complete message again and compares the content.

--- a/fuzz/fuzz_answers.c
+++ b/fuzz/fuzz_answers.c
@@ -4,7 +4,10 @@
  *
  * Checks that the pieces do not change how a message is read, that a reader
  * holds no more bytes than it was given, that a head is limited, and that
- * nothing is read behind an end or an error. */
+ * nothing is read behind an end or an error.  A complete message must also be
+ * well-formed for a second reader, which knows the grammar of RFC 9112 only,
+ * and have the same content for it. */
+#include <ctype.h>
 #include <stdint.h>
 #include <string.h>
 
@@ -20,7 +23,8 @@
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
 
 typedef struct Result {
-    int n_done; /* complete messages */
+    int n_done;   /* complete messages */
+    size_t begin; /* of the current message in the input */
     H1State last;
     unsigned status;
     size_t body_bytes;
@@ -45,6 +49,115 @@
     }
 }
 
+static bool
+is_text(const uint8_t *p, size_t n)
+{
+    for (size_t i = 0; i < n; i++) {
+        if (p[i] != '\t' && (p[i] < 0x20 || p[i] == 0x7f)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Takes the next line, which ends with CRLF, from *p. */
+static Str
+take_line(const uint8_t **p, const uint8_t *end)
+{
+    const uint8_t *eol = memmem(*p, (size_t)(end - *p), "\r\n", 2);
+
+    require(eol != NULL);
+    Str line = {(const char *)*p, (size_t)(eol - *p)};
+    require(is_text(*p, line.n));
+    *p = eol + 2;
+    return line;
+}
+
+/* A field line, or the empty line at the end of a section. */
+static bool
+take_field(const uint8_t **p, const uint8_t *end)
+{
+    static const char others[] = "!#$%&'*+-.^_`|~";
+    Str line = take_line(p, end);
+    size_t n = 0;
+
+    while (n < line.n && line.p[n] != ':') {
+        require(isalnum((unsigned char)line.p[n]) ||
+                memchr(others, line.p[n], sizeof(others) - 1) != NULL);
+        n++;
+    }
+    require(line.n == 0 || (n > 0 && n < line.n));
+    return line.n > 0;
+}
+
+static void
+require_status_line(Str line)
+{
+    const char *p = line.p;
+
+    require(line.n >= 12 && memcmp(p, "HTTP/1.", 7) == 0 && isdigit(p[7]) &&
+            p[8] == ' ' && isdigit(p[9]) && isdigit(p[10]) && isdigit(p[11]));
+    require(p[9] >= '1' && p[9] <= '5');
+    require(line.n == 12 || p[12] == ' ');
+}
+
+/* Decodes chunks from *p and compares the content. */
+static void
+require_chunks(const uint8_t **p, const uint8_t *end, const GByteArray *body)
+{
+    size_t at = 0;
+    uint64_t size;
+
+    do {
+        Str line = take_line(p, end);
+        size_t digits = 0;
+        size = 0;
+        while (digits < line.n && isxdigit((unsigned char)line.p[digits])) {
+            size =
+                size * 16 + (uint64_t)g_ascii_xdigit_value(line.p[digits++]);
+        }
+        require(digits > 0);
+        while (digits < line.n &&
+               (line.p[digits] == ' ' || line.p[digits] == '\t')) {
+            digits++;
+        }
+        require(digits == line.n || line.p[digits] == ';');
+        if (size > 0) {
+            require(size <= (size_t)(end - *p) && at + size <= body->len);
+            require(memcmp(body->data + at, *p, size) == 0);
+            at += size;
+            *p += size;
+            require(take_line(p, end).n == 0);
+        }
+    } while (size > 0);
+    require(at == body->len);
+    while (take_field(p, end)) {
+    }
+}
+
+/* Reads a message, which h1 has read, again. */
+static void
+require_well_formed(const H1 *h, const uint8_t *p, size_t n)
+{
+    const uint8_t *end = p + n;
+    unsigned status = h->parser.status_code;
+    bool no_content = status / 100 == 1 || status == 204 || status == 304;
+
+    require_status_line(take_line(&p, end));
+    while (take_field(&p, end)) {
+    }
+    if (h->chunked && !h->no_body && !no_content) {
+        require_chunks(&p, end, h->body);
+    }
+    else {
+        require(h->body->len == (size_t)(end - p));
+        require(h->body->len == 0 ||
+                memcmp(h->body->data, p, h->body->len) == 0);
+        require(h->body->len == 0 || !no_content);
+    }
+    require(h->chunked || p + h->body->len == end);
+}
+
 /* Uses a complete response as px does. */
 static void
 use_response(const H1 *h, bool with_body)
@@ -80,9 +193,11 @@
     pf_kv.read_lease(body, &lease, NULL);
 }
 
-/* Reads the next messages from "in".  Returns false after the last one. */
+/* Reads the next messages from "in", which has the input up to data[at].
+ * Returns false after the last one. */
 static bool
-read_messages(H1 *h, GByteArray *in, bool no_body, Result *r)
+read_messages(H1 *h, GByteArray *in, const uint8_t *data, size_t at,
+              bool no_body, Result *r)
 {
     while (r->n_done < MESSAGES_MAX) {
         h->no_body = no_body;
@@ -93,6 +208,8 @@
         if (r->last != H1_DONE) {
             return r->last == H1_HEAD || r->last == H1_BODY;
         }
+        require_well_formed(h, data + r->begin, at - in->len - r->begin);
+        r->begin = at - in->len;
         r->n_done++;
         r->status = h->parser.status_code;
         r->body_bytes += h->body->len;
@@ -122,7 +239,7 @@
         size_t n = MIN(piece, size - at);
         g_byte_array_append(in, data + at, (guint)n);
         at += n;
-        more = read_messages(&h, in, no_body, &r);
+        more = read_messages(&h, in, data, at, no_body, &r);
         require(h.body->len + r.body_bytes <= at);
     }
     r.left = in->len + size - at;
