--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -26,7 +26,7 @@
  * upstream that is cold takes about 3 times the usual. */
 #define OVERDUE_FACTOR 4.0
 #define CHECK_INTERVAL_US 500000 /* between checks whether it is down */
-#define MALFORMED_US 1000000     /* between log lines about an upstream */
+#define MALFORMED_LOG_US 1000000 /* between log lines about an upstream */
 #define COLD_VMS 4               /* VMs that may use one cold upstream */
 
 /* A request may overflow to another region if it can be served there before
@@ -375,7 +375,7 @@
     Ups *u = r->u;
 
     u->n_malformed++;
-    if (u->malformed_us == 0 || now_us - u->malformed_us >= MALFORMED_US) {
+    if (u->malformed_us == 0 || now_us - u->malformed_us >= MALFORMED_LOG_US) {
         dlog_event(r->p->o.log, DLOG_WARN, "upstream",
                    "id=%s event=malformed_response request=%s error=\"%s\" "
                    "responses=%d",
--- a/src/storehttp.c
+++ b/src/storehttp.c
@@ -1,8 +1,6 @@
 /* storehttp - asynchronous calls to the store over HTTP.  See storehttp.h. */
 #include "storehttp.h"
 
-#include <string.h>
-
 #include "entry_up.h"
 #include "limits.h"
 #include "loopsrc.h"
