Send both requests of test_px_answers before the first is answered

Cause: the second request of each case came after the answer to the first, so that no case had a request waiting behind a malformed answer. Change: both are sent at once; a well-formed answer may be followed by a new connection, as the second request is placed before the first is given back.

--- a/tests/test_px_answers.c
+++ b/tests/test_px_answers.c
@@ -45,16 +45,19 @@
     g_free(text);
 }
 
-/* True if the VM has closed the upstream's connection.  Checks that it has
- * sent nothing on it. */
-static bool
-is_closed(int fd, const char *name)
+/* Accepts the second request, after the first one was answered on fd.  The
+ * connection of a malformed answer must have been closed. */
+static int
+accept_second(World *w, int fd, const Answer *a)
 {
     char byte;
-    ssize_t n = recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK);
+    ssize_t n = recv(fd, &byte, 1, MSG_DONTWAIT);
+    bool closed = n == 0 || (n < 0 && errno == ECONNRESET);
 
-    ck_assert_msg(n <= 0, "%s: %d", name, (int)n);
-    return n == 0 || errno == ECONNRESET;
+    ck_assert_msg(n <= 0, "%s: %d", a->name, (int)n);
+    ck_assert_msg(closed || a->status != 0, "%s: not closed", a->name);
+    close(fd);
+    return accept_request(w, "id-2");
 }
 
 /* Lets the upstream answer the first of two pipelined requests that must not
@@ -71,26 +74,20 @@
 
     world_init(&w, false, 100);
     int caller = world_ask(&w, "id-1", 1500);
+    ask_behind(caller, "id-2");
     world_run(&w, SETTLE_US / 2);
     int fd = accept_request(&w, "id-1");
     answer(fd, a, "id-1");
     world_run(&w, SETTLE_US / 2);
-    bool closed = is_closed(fd, a->name);
-    ck_assert_msg(closed || a->status != 0, "%s: not closed", a->name);
-    ask_behind(caller, "id-2");
-    world_run(&w, SETTLE_US / 2);
-    int next = closed ? accept_request(&w, "id-2") : fd;
-    world_answer(next, "id-2", 2);
+    fd = accept_second(&w, fd, a);
+    world_answer(fd, "id-2", 2);
     world_run(&w, SETTLE_US / 2);
     recv(caller, buf, sizeof(buf) - 1, MSG_DONTWAIT);
     ck_assert_msg(g_str_has_prefix(buf, begin) && strstr(buf, end) != NULL,
                   "%s: %s", a->name, buf);
     g_free(begin);
     g_free(end);
-    close(next);
-    if (closed) {
-        close(fd);
-    }
+    close(fd);
     close(caller);
     world_run(&w, SETTLE_US / 2);
     world_clear(&w);
