Make standin-platform answer watches from a history of changes

Cause: the stand-in answered a watch with the newest value of each key, where the platform sends each version as an event, at most some 500 at a time, and 410 once the history is gone. So no test on real processes showed what a VM does with many versions of a large configuration. Change: changes are kept for 20 s, the time in the description of the users' deployments, and sent in order of revision; a full answer ends with the revision of its last event. platform_store.h is split by state, history and calls.

--- a/standins/platform.c
+++ b/standins/platform.c
@@ -171,6 +171,7 @@
                                         NULL, on_refused, NULL};
 
     p->items = g_ptr_array_new_with_free_func(item_free);
+    p->history = g_queue_new();
     p->leases = g_array_new(FALSE, TRUE, sizeof(Lease));
     p->watches = g_ptr_array_new();
     p->runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -1,129 +1,11 @@
 /*
- * platform_store - key-value store of standin-platform: items, leases, watches
- * and the control calls of the tests.
+ * platform_store - key-value store of standin-platform: its calls, and the
+ * control calls of the tests.
  */
 #ifndef MIMOSA_PLATFORM_STORE_H
 #define MIMOSA_PLATFORM_STORE_H
 
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-
-#include "answers.h"
-#include "caller.h"
-#include "evl.h"
-#include "pf.h"
-#include "platform_sizes.h"
-
-#define MAX_TARGETS 32
-/* Interval of the checks of leases and target reports. */
-#define REPORT_INTERVAL_US 500000
-#define SLOW_DELAY_US 1000000           /* delay of the behaviour slow */
-#define BUFFER_BYTES (64 * 1024 * 1024) /* of a listener, and of a body */
-#define TARGET_SLOTS 4                  /* reported by each target */
-
-typedef enum Mode {
-    MODE_OK,
-    MODE_BUSY,
-    MODE_REFUSE,
-    MODE_SILENT,
-    MODE_FORGET,
-    MODE_PARTIAL
-} Mode;
-
-static const char *const mode_names[] = {"ok",     "busy",   "refuse",
-                                         "silent", "forget", "partial"};
-
-typedef struct Item {
-    char *key;
-    char *encoded; /* base64 of the value; NULL: removed */
-    uint64_t rev;
-    uint64_t lease;
-} Item;
-
-typedef struct Lease {
-    uint64_t id;
-    int64_t end_us;
-    int64_t ttl_us;
-} Lease;
-
-typedef struct Watch {
-    struct Platform *p;
-    Caller *caller;
-    char *prefix;
-    uint64_t after_rev; /* changes after this revision are requested */
-    EvlTimer timer;
-} Watch;
-
-typedef struct Target {
-    struct Platform *p;
-    char id[NAME_BYTES];
-    char service[NAME_BYTES];
-    char zone[NAME_BYTES];
-    struct sockaddr_in addr;            /* listening address */
-    struct sockaddr_in registered_addr; /* registered in the store */
-    int seq;
-    int arrived;      /* requests for this target */
-    int served;       /* those of them that it accepted */
-    bool leaving;     /* says so in all its responses */
-    bool path_cut;    /* its responses may not arrive */
-    uint64_t boot_ms; /* reported as its start */
-    GHashTable *told; /* entry VM process -> Told, see platform_notice.h */
-    char retry_after[NAME_BYTES]; /* if not empty, refuses all requests with
-                                     this Retry-After */
-    CallerSet *callers;           /* NULL while it is down */
-    int crashes;
-    EvlTimer start_timer; /* its next start after a crash */
-} Target;
-
-/* A response that is sent when the timer fires. */
-typedef struct DelayedReply {
-    Target *t;
-    Caller *caller;
-    char *id;
-    EvlTimer timer;
-} DelayedReply;
-
-typedef struct Platform {
-    Evl *loop;
-    Mode mode;
-    uint64_t rev;
-    uint64_t last_lease_id;
-    GPtrArray *items; /* Item; latest of each key, also of removed keys */
-    GArray *leases;   /* Lease */
-    GPtrArray *watches;
-    GHashTable *runs;      /* attempt id -> number of runs */
-    int n_endless;         /* responses without end that are being sent */
-    int n_endless_begun;   /* all of them so far */
-    char endless_kind[32]; /* of the responses of the store, empty for none */
-    int late_after_notice; /* requests that broke a notice of leaving */
-    int during_wait;       /* requests that broke a wait */
-    Target targets[MAX_TARGETS];
-    int n_targets;
-    CallerSet *callers;
-    EvlTimer report_timer;
-} Platform;
-
-static void
-item_free(gpointer data)
-{
-    Item *i = data;
-
-    g_free(i->key);
-    g_free(i->encoded);
-    g_free(i);
-}
-
-static void
-respond(Caller *c, int status, const char *body)
-{
-    char head[96];
-
-    snprintf(head, sizeof(head),
-             "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n",
-             status);
-    caller_respond(c, str_of(head), body, strlen(body));
-}
+#include "platform_history.h"
 
 /* Returns the decoded value of a query parameter, NULL if there is none; free
  * it with g_free(). */
@@ -146,131 +28,6 @@
     return out;
 }
 
-static void
-append_item(GString *g, const Item *it)
-{
-    g_string_append(g, g->str[g->len - 1] == '[' ? "" : ",");
-    g_string_append(g, "{\"Key\":\"");
-    for (const char *s = it->key; *s != '\0'; s++) {
-        if ((unsigned char)*s < ' ' || *s == '"' || *s == '\\') {
-            g_string_append_printf(g, "\\u%04x", (unsigned)*s);
-        }
-        else {
-            g_string_append_c(g, *s);
-        }
-    }
-    g_string_append_printf(g, "\",\"Rev\":%" G_GUINT64_FORMAT, it->rev);
-    if (it->encoded == NULL) {
-        g_string_append(g, ",\"Deleted\":true}");
-    }
-    else {
-        g_string_append_printf(g, ",\"Value\":\"%s\"}", it->encoded);
-    }
-}
-
-/* Responds to a watch if there are changes or force is set.  Returns true if
- * it has responded; the watch must then be freed. */
-static bool
-respond_to_watch(Watch *w, bool force)
-{
-    Platform *p = w->p;
-    GString *g = g_string_new("{\"events\":[");
-    size_t empty_len = g->len;
-
-    for (guint i = 0; i < p->items->len; i++) {
-        const Item *it = g_ptr_array_index(p->items, i);
-        if (it->rev > w->after_rev && g_str_has_prefix(it->key, w->prefix)) {
-            append_item(g, it);
-        }
-    }
-    bool done = force || g->len > empty_len;
-    if (done) {
-        g_string_append_printf(g, "],\"CurrentRev\":%" G_GUINT64_FORMAT "}",
-                               p->rev);
-        caller_set_user(w->caller, NULL);
-        respond(w->caller, 200, g->str);
-    }
-    g_string_free(g, TRUE);
-    return done;
-}
-
-static void
-watch_free(Watch *w)
-{
-    evl_disarm(w->p->loop, &w->timer);
-    g_ptr_array_remove_fast(w->p->watches, w);
-    g_free(w->prefix);
-    g_free(w);
-}
-
-static void
-on_watch_end(void *ctx, int64_t now_us)
-{
-    (void)now_us;
-    respond_to_watch(ctx, true);
-    watch_free(ctx);
-}
-
-static void
-notify_watches(Platform *p)
-{
-    for (guint i = p->watches->len; i-- > 0;) {
-        Watch *w = g_ptr_array_index(p->watches, i);
-        if (respond_to_watch(w, false)) {
-            watch_free(w);
-        }
-    }
-}
-
-/* Returns the item of a key, also of a removed one; NULL if the key was never
- * written. */
-static Item *
-find_item(const Platform *p, const char *key)
-{
-    for (guint i = 0; i < p->items->len; i++) {
-        Item *x = g_ptr_array_index(p->items, i);
-        if (strcmp(x->key, key) == 0) {
-            return x;
-        }
-    }
-    return NULL;
-}
-
-static bool
-has_item(const Platform *p, const char *key)
-{
-    const Item *it = find_item(p, key);
-
-    return it != NULL && it->encoded != NULL;
-}
-
-/* Stores the base64 of a value; NULL removes the key. */
-static void
-put(Platform *p, const char *key, const char *encoded, uint64_t lease)
-{
-    Item *it = find_item(p, key);
-
-    if (it == NULL) {
-        it = g_new0(Item, 1);
-        it->key = g_strdup(key);
-        g_ptr_array_add(p->items, it);
-    }
-    g_free(it->encoded);
-    it->encoded = g_strdup(encoded);
-    it->rev = ++p->rev;
-    it->lease = lease;
-    notify_watches(p);
-}
-
-static void
-put_bytes(Platform *p, const char *key, const void *data, size_t n)
-{
-    char *encoded = g_base64_encode(data, n);
-
-    put(p, key, encoded, 0);
-    g_free(encoded);
-}
-
 static void
 expire_leases(Platform *p, int64_t now_us)
 {
@@ -355,8 +112,9 @@
     w->after_rev = after == NULL ? 0 : g_ascii_strtoull(after, NULL, 10);
     w->timer = (EvlTimer){.fn = on_watch_end, .ctx = w};
     g_ptr_array_add(p->watches, w);
-    if (p->mode == MODE_FORGET) {
-        p->mode = MODE_OK;
+    drop_old_events(p, now_us);
+    if (p->mode == MODE_FORGET || w->after_rev < p->lost_rev) {
+        p->mode = p->mode == MODE_FORGET ? MODE_OK : p->mode;
         watch_free(w);
         respond(c, 410, "{}");
     }
