--- a/standins/platform.c
+++ b/standins/platform.c
@@ -4,6 +4,7 @@
  *
  * The last segment of a request's path selects the behaviour of the target:
  *   ok           complete response
+ *   service      complete response with the service's name as its body
  *   cut          response truncated before its Content-Length
  *   cutchunk     chunked response truncated before its last chunk
  *   cuthead      connection closed within the head of the response
--- a/standins/platform_targets.h
+++ b/standins/platform_targets.h
@@ -46,14 +46,21 @@
 }
 
 static void
-respond_complete(Target *t, Caller *c, const char *id)
+respond_body(Target *t, Caller *c, const char *id, const char *body)
 {
     char *head = sealed_head(t, id);
-    char *body = g_strdup_printf("done %s\n", id);
 
     count_run(t->p, id);
     caller_respond(c, str_of(head), body, strlen(body));
     g_free(head);
+}
+
+static void
+respond_complete(Target *t, Caller *c, const char *id)
+{
+    char *body = g_strdup_printf("done %s\n", id);
+
+    respond_body(t, c, id, body);
     g_free(body);
 }
 
@@ -285,6 +292,9 @@
     else if (strcmp(behaviour, "slow") == 0) {
         respond_delayed(t, c, id, now_us);
     }
+    else if (strcmp(behaviour, "service") == 0) {
+        respond_body(t, c, id, t->service);
+    }
     else if (g_str_has_prefix(behaviour, "endless")) {
         char *head = sealed_head(t, id);
         count_run(t->p, id);
--- a/tests/lib/platform_lib.sh
+++ b/tests/lib/platform_lib.sh
@@ -21,8 +21,8 @@
 }
 trap stop_all EXIT
 
-# settings N ZONE: writes the settings file of entry VM N, which listens on the
-# ports from port + 100 * N + 1.
+# settings N ZONE [STORE]: writes the settings file of entry VM N, which listens
+# on the ports from port + 100 * N + 1 and uses the store at that IP:PORT.
 settings() {
     p=$((port + 100 * $1))
     cat >"$dir/vm$1.ini" <<END
@@ -41,7 +41,7 @@
 peers = 127.0.0.1:$((p + 4))
 metrics = 127.0.0.1:$((p + 5))
 [store]
-address = $store
+address = ${3:-$store}
 [bounds]
 drain = 2500ms
 configuration = 2500ms
@@ -61,9 +61,10 @@
 }
 
 # start_platform: starts the stand-in with the targets u-1 and u-2, and with
-# u-3 to u-N in west-a if the variable n_targets is N.
+# u-3 to u-N in west-a if the variable n_targets is N, and with the further
+# options in the variable platform_options.
 start_platform() {
-    more=
+    more=${platform_options:-}
     for n in $(seq 3 "${n_targets:-2}"); do
         more="$more --target u-$n,127.0.0.1:$((port + 50 + n)),desk,west-a"
     done
@@ -77,16 +78,26 @@
 }
 
 # control PATH [BODY]: sends a PUT control call to the store of the stand-in.
+# BODY @FILE is the content of a file, @- that of the standard input, which may
+# be larger than an argument of a process.
 control() {
     curl -s -o /dev/null -X PUT --data-binary "${2:-}" "http://$store$1"
 }
 
 # config VERSION [EXTRA_ROUTE]: stores a configuration with the routes read and
 # write, and the extra one, which is JSON behind a comma.  The variables
-# body_max (bytes) and idle_ms change its limits.
+# body_max (bytes) and idle_ms change its limits; more_services adds services,
+# as JSON behind a comma.
 config() {
     r='"Timeout":"1500ms","Slo":"400ms","Priority":1,"MaxAttempts":2,"Sticky":true,"HomeRegions":[],"Service":"desk"'
-    control '/test/key?op/config' "{\"Version\":$1,\"Services\":[{\"Name\":\"desk\",\"HealthPath\":\"/healthz\",\"MaxConns\":360,\"Cold\":\"3s\",\"ColdPerS\":15.0}],\"Limits\":{\"MaxHeaderBytes\":4096,\"MaxBodyBytes\":${body_max:-100000},\"HeaderTimeout\":\"1000ms\",\"IdleTimeout\":\"${idle_ms:-15000}ms\"},\"Vhosts\":[{\"Host\":\"desk.example\",\"Paths\":[{\"Name\":\"read\",\"PathPrefix\":\"/read/\",\"Kind\":\"idempotent\",$r},{\"Name\":\"write\",\"PathPrefix\":\"/write/\",\"Kind\":\"non_idempotent\",$r}${2:-}]}]}"
+    printf '%s' "{\"Version\":$1,\"Services\":[{\"Name\":\"desk\",\"HealthPath\":\"/healthz\",\"MaxConns\":360,\"Cold\":\"3s\",\"ColdPerS\":15.0}${more_services:-}],\"Limits\":{\"MaxHeaderBytes\":4096,\"MaxBodyBytes\":${body_max:-100000},\"HeaderTimeout\":\"1000ms\",\"IdleTimeout\":\"${idle_ms:-15000}ms\"},\"Vhosts\":[{\"Host\":\"desk.example\",\"Paths\":[{\"Name\":\"read\",\"PathPrefix\":\"/read/\",\"Kind\":\"idempotent\",$r},{\"Name\":\"write\",\"PathPrefix\":\"/write/\",\"Kind\":\"non_idempotent\",$r}${2:-}]}]}" |
+        control '/test/key?op/config' @-
+}
+
+# routes N NAME: N routes behind a comma, as config expects them.
+routes() {
+    seq "$1" | sed "s|.*|,{\"Name\":\"r-&-$2\",\"PathPrefix\":\"/more/$2/&/\",\"Kind\":\"idempotent\",\"Timeout\":\"1500ms\",\"Slo\":\"400ms\",\"Priority\":1,\"MaxAttempts\":2,\"HomeRegions\":[],\"Service\":\"desk\"}|" |
+        tr -d '\n'
 }
 
 # wait_for URL STATUS: polls the URL every 100 ms until it returns the status;
--- a/tests/platform_large_gossip.sh
+++ b/tests/platform_large_gossip.sh
@@ -7,12 +7,6 @@
 . tests/lib/platform_lib.sh
 . tests/lib/drain_lib.sh
 
-# routes N: routes behind a comma, as config expects them.
-routes() {
-    seq "$1" | sed "s|.*|,{\"Name\":\"r-&-$2\",\"PathPrefix\":\"/more/$2/&/\",\"Kind\":\"idempotent\",\"Timeout\":\"1500ms\",\"Slo\":\"400ms\",\"Priority\":1,\"MaxAttempts\":2,\"HomeRegions\":[],\"Service\":\"desk\"}|" |
-        tr -d '\n'
-}
-
 start_one_vm
 "$b/standin-peer" --listen "127.0.0.1:$((port + 304))" >"$dir/peer" &
 pids="$pids $!"
