--- a/tests/lib/link_lib.sh
+++ b/tests/lib/link_lib.sh
@@ -37,8 +37,8 @@
     config "$1" "$(route moved shop)$(route added shop)${filler:-}"
 }
 
-# start_linked_vm [LINK_OPTION...]: starts the stand-ins, stores a configuration, and starts VM 1
-# behind the link and waits until it is ready.
+# start_linked_vm [LINK_OPTION...]: starts the stand-ins, stores a
+# configuration, and starts VM 1 behind the link and waits until it is ready.
 start_linked_vm() {
     start_platform
     config_before 3
