Log what had arrived of a failed call to the store, and for how long

call_failed now has the time that the call took, the bytes of the answer that had arrived and the age of the copy; regained has the time since the first failed call, and the time and bytes of the call that succeeded.

--- a/src/kv.c
+++ b/src/kv.c
@@ -213,3 +213,9 @@
         kv_disconnect(c);
     }
 }
+
+size_t
+kv_received(const KvConn *c)
+{
+    return c->answer.body->len;
+}
--- a/src/kv.h
+++ b/src/kv.h
@@ -89,4 +89,8 @@
 /* Cancels the call under way; its callback is not called. */
 void kv_cancel(KvConn *c);
 
+/* Bytes of the body that have arrived, of the call under way or the last one;
+ * also of an answer that was given up. */
+size_t kv_received(const KvConn *c);
+
 #endif
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -32,11 +32,20 @@
             evl_now(f->m->o.loop) + (int64_t)((double)us * jitter));
 }
 
+static void
+feed_call(Feed *f, GString *request, int64_t limit_us, KvDone done)
+{
+    f->m->calls++;
+    f->call_start_us = evl_now(f->m->o.loop);
+    kv_call(f->conn, request, limit_us, done, f);
+}
+
 static void
 feed_failed(Feed *f, const char *what, int status, int64_t now_us)
 {
     if (!f->failing) {
         f->failing = true;
+        f->lost_us = now_us;
         dlog_event(f->m->o.log, DLOG_WARN, "store",
                    "event=lost prefix=%s call=%s status=%d", f->prefix, what,
                    status);
@@ -53,18 +62,25 @@
               status == KV_NOT_SENT ? RECONNECT_MAX_US : BACKOFF_MAX_US);
     dlog_event(f->m->o.log, DLOG_INFO, "store",
                "event=call_failed prefix=%s call=%s status=%d "
-               "backoff_ms=%" G_GINT64_FORMAT,
-               f->prefix, what, status, f->backoff_us / 1000);
+               "backoff_ms=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT
+               " received=%zu copy_age_ms=%" G_GINT64_FORMAT,
+               f->prefix, what, status, f->backoff_us / 1000,
+               (now_us - f->call_start_us) / 1000, kv_received(f->conn),
+               mirror_feed_age_us(f) / 1000);
     feed_schedule(f, f->backoff_us);
 }
 
 static void
-feed_succeeded(Feed *f)
+feed_succeeded(Feed *f, int64_t now_us)
 {
     if (f->failing) {
         dlog_event(f->m->o.log, DLOG_INFO, "store",
-                   "event=regained prefix=%s rev=%" G_GUINT64_FORMAT,
-                   f->prefix, kvcache_rev(f->cache));
+                   "event=regained prefix=%s rev=%" G_GUINT64_FORMAT
+                   " lost_ms=%" G_GINT64_FORMAT " took_ms=%" G_GINT64_FORMAT
+                   " received=%zu",
+                   f->prefix, kvcache_rev(f->cache),
+                   (now_us - f->lost_us) / 1000,
+                   (now_us - f->call_start_us) / 1000, kv_received(f->conn));
     }
     f->failing = false;
     f->backoff_us = 0;
@@ -139,7 +155,7 @@
     f->listed = true;
     f->confirming = false;
     f->checking = false;
-    feed_succeeded(f);
+    feed_succeeded(f, now_us);
     notify_ready(f->m, now_us);
     notify_current(f->m, now_us);
 }
@@ -214,9 +230,8 @@
         g_clear_pointer(&f->after, g_free);
         f->list_start_us = evl_boottime();
     }
-    f->m->calls++;
-    kv_call(f->conn, f->m->o.codec->list(f->prefix, f->after, f->stale),
-            CALL_TIMEOUT_US, on_list, f);
+    feed_call(f, f->m->o.codec->list(f->prefix, f->after, f->stale),
+              CALL_TIMEOUT_US, on_list);
 }
 
 static void
@@ -240,7 +255,7 @@
     kvcache_set_rev(f->cache, p.rev);
     kv_page_clear(&p);
     mirror_feed_confirm(f, f->list_start_us);
-    feed_succeeded(f);
+    feed_succeeded(f, now_us);
     mirror_feed_pause(f, false, now_us);
     resync_run(f->resync, kvcache_rev(f->cache));
 }
@@ -249,10 +264,9 @@
 static void
 feed_list_urgent(Feed *f)
 {
-    f->m->calls++;
     f->list_start_us = evl_boottime();
-    kv_call(f->conn, f->m->o.codec->list(f->m->o.urgent, NULL, false),
-            CALL_TIMEOUT_US, on_urgent, f);
+    feed_call(f, f->m->o.codec->list(f->m->o.urgent, NULL, false),
+              CALL_TIMEOUT_US, on_urgent);
 }
 
 /* Drops the keys of a stale list that was not confirmed. */
@@ -340,12 +354,11 @@
                                                mirror_feed_watched_age_us(f));
     int wait_ms = MAX((int)(wait_us / 1000), CONFIRM_WAIT_MS);
 
-    f->m->calls++;
     f->watch_start_us = evl_boottime();
     f->watch_wait_us = wait_ms * INT64_C(1000);
-    kv_call(f->conn,
-            f->m->o.codec->watch(f->prefix, kvcache_rev(f->cache), wait_ms),
-            limit_us, on_watch, f);
+    feed_call(f,
+              f->m->o.codec->watch(f->prefix, kvcache_rev(f->cache), wait_ms),
+              limit_us, on_watch);
 }
 
 static void
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -30,6 +30,8 @@
     bool missed; /* gossip showed missing revisions.  Other VMs then watch
                     too, so the events of the next watch are not
                     forwarded. */
+    int64_t call_start_us; /* start of the last call; steady time */
+    int64_t lost_us; /* first of the failed calls in a row; steady time */
     int64_t list_start_us;  /* start of the list under way; boot time */
     int64_t watch_start_us; /* start of the watch; boot time */
     int64_t watch_wait_us;  /* for which the store waits for events */
