Limit the progress of a store answer, not its whole time

Cause: the time limit of kv_call() held for the whole answer. An answer that takes longer was dropped with all that had arrived, and the next call asked for the same from its start. Change: the limit holds until the first byte, and then for progress.

--- a/src/kv.h
+++ b/src/kv.h
@@ -77,8 +77,10 @@
 bool kv_busy(const KvConn *c);
 
 /* Starts a call and takes ownership of the request.  The connection must not
- * be busy.  A new connection gets only part of the time: a packet that opens
- * it and is lost is sent again after a second, a further attempt sooner. */
+ * be busy.  timeout_us: until the answer begins, and then without progress;
+ * see xferlimit.h.  A new connection gets only part of the time: a packet that
+ * opens it and is lost is sent again after a second, a further attempt sooner.
+ */
 void kv_call(KvConn *c, GString *request, int64_t timeout_us, KvDone done,
              void *ctx);
 
