End a store call whose answer is too large by its length

What callers saw: a slow link was occupied by an answer that was dropped once its limit of bytes had arrived. Cause: kv counted received bytes only, although Content-Length tells the size with the head. Evidence: on the code before, a head with Content-Length and no body ended with status 0 at the time limit, not with KV_TOO_LARGE (an_answer_is_too_large_by_its_length). Change: the length is compared with the same limit as the bytes.

--- a/src/kv.c
+++ b/src/kv.c
@@ -115,7 +115,8 @@
         log_malformed(c, &e);
         finish(c, KV_NO_ANSWER);
     }
-    else if (c->answer.body->len > ANSWER_BYTES_MAX) {
+    else if (c->answer.length > ANSWER_BYTES_MAX ||
+             c->answer.body->len > ANSWER_BYTES_MAX) {
         finish(c, KV_TOO_LARGE);
     }
     else {
--- a/tests/test_kv_slow.c
+++ b/tests/test_kv_slow.c
@@ -283,6 +283,21 @@
 }
 END_TEST
 
+/* Guards against a slow link that carries an answer which is then dropped. */
+START_TEST(an_answer_is_too_large_by_its_length)
+{
+    World w;
+
+    setup(&w);
+    call(&w);
+    send_length(&w, TOO_LARGE_BYTES);
+    run_for(&w, GIVE_UP_US);
+    ck_assert_int_eq(w.status, KV_TOO_LARGE);
+    ck_assert_uint_eq(w.body_bytes, 0);
+    teardown(&w);
+}
+END_TEST
+
 /* Guards against a part of an answer that counts as the whole. */
 START_TEST(an_answer_cut_off_midway_fails)
 {
@@ -375,7 +390,7 @@
        no_answer_fails_at_the_limit, an_answer_that_stops_fails_a_limit_later,
        an_answer_below_the_minimum_rate_fails,
        a_head_below_the_minimum_rate_fails, an_endless_answer_is_too_large,
-       an_answer_cut_off_midway_fails,
+       an_answer_is_too_large_by_its_length, an_answer_cut_off_midway_fails,
        an_answer_that_waits_in_the_socket_is_in_time,
        an_answer_that_arrives_while_timers_run_is_in_time,
        a_late_process_does_not_fail_a_transfer)
