Report a store answer that has begun and is not complete

What callers saw: nothing yet. The mirror is to know that a newer copy is on its way, so that requests can wait for it while a slow link carries it. Change: kv_on_begin() sets a function that is called once in a call, when the head of the answer is complete and its body is not. Answers that are malformed or too large by then are not reported. Tests of kv send small pieces without delay (TCP_NODELAY), since they check one at a time.

--- a/src/kv.c
+++ b/src/kv.c
@@ -31,6 +31,9 @@
     guint unparsed; /* bytes of the answer that arrived before and are not read
                      */
     int64_t calls;  /* started so far */
+    bool begun;     /* the answer was reported to the function "begin" */
+    KvBegin begin;
+    void *begin_ctx;
     KvDone done;
     void *ctx;
 };
@@ -99,6 +102,16 @@
     }
 }
 
+static void
+report_begin(KvConn *c, H1State st)
+{
+    if (st == H1_BODY && !c->begun && c->begin != NULL) {
+        c->begun = true;
+        c->begin(c->begin_ctx, (int)c->answer.parser.status_code,
+                 evl_now(c->loop));
+    }
+}
+
 static void
 on_bytes(KvConn *c)
 {
@@ -121,6 +134,7 @@
     }
     else {
         evl_arm(c->loop, &c->timer, c->limit.end_us);
+        report_begin(c, st);
     }
 }
 
@@ -186,6 +200,13 @@
     return c;
 }
 
+void
+kv_on_begin(KvConn *c, KvBegin fn, void *ctx)
+{
+    c->begin = fn;
+    c->begin_ctx = ctx;
+}
+
 void
 kv_free(KvConn *c)
 {
@@ -212,6 +233,7 @@
     c->ctx = ctx;
     c->calls++;
     c->unparsed = 0;
+    c->begun = false;
     xferlimit_start(&c->limit, timeout_us, now_us);
     h1_next(&c->answer);
     set_request(c, request);
--- a/src/kv.h
+++ b/src/kv.h
@@ -84,6 +84,16 @@
 void kv_call(KvConn *c, GString *request, int64_t timeout_us, KvDone done,
              void *ctx);
 
+/* status: HTTP status of an answer whose head is complete and whose body is
+ * not. */
+typedef void (*KvBegin)(void *ctx, int status, int64_t now_us);
+
+/* Sets a function that is called at most once in a call, before KvDone, when
+ * the answer has begun.  An answer that arrives whole need not be reported.
+ * The function must not start, cancel or end calls, nor close or free the
+ * connection.  NULL: none. */
+void kv_on_begin(KvConn *c, KvBegin fn, void *ctx);
+
 /* Ends the connection, on which another answer may be under way.  Not during a
  * call. */
 void kv_disconnect(KvConn *c);
--- a/tests/test_kv.c
+++ b/tests/test_kv.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -24,6 +25,8 @@
     KvConn *conn;
     int status; /* of the last call */
     char body[64];
+    int begun; /* calls of on_begin() */
+    int begin; /* status of the last one */
     EvlTimer end;
 } World;
 
@@ -98,6 +101,17 @@
     str_copy(w->body, sizeof(w->body), body);
 }
 
+static void
+on_begin(void *ctx, int status, int64_t now_us)
+{
+    World *w = ctx;
+
+    ck_assert_int_eq(w->status, NONE);
+    ck_assert_int_eq(now_us, evl_now(w->loop));
+    w->begun++;
+    w->begin = status;
+}
+
 /* Starts a call and returns the store's side of a new connection, on which the
  * request was read, or -1. */
 static int
@@ -111,6 +125,8 @@
             w);
     run(w);
     int fd = accept(w->listener, NULL, NULL);
+    int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
     ck_assert(fd < 0 || recv(fd, buf, sizeof(buf), MSG_DONTWAIT) > 0);
     return fd;
 }
@@ -182,5 +198,63 @@
 }
 END_TEST
 
-T_MAIN("kv", an_interim_answer_does_not_end_a_call,
+/* Guards against an answer under way that is reported late, twice, with the
+ * status of an interim answer, or not at all in the next call. */
+START_TEST(an_answer_that_has_begun_is_reported_once)
+{
+    World w;
+
+    setup(&w);
+    kv_on_begin(w.conn, on_begin, &w);
+    int fd = call(&w);
+    answer(&w, fd, str_of("HTTP/1.1 103 Early Hints\r\n\r\n"));
+    answer(&w, fd, str_of(ANSWER_OK));
+    ck_assert_int_eq(w.begun, 0);
+    answer(&w, fd, str_of("Content-Length: 3\r\n\r\n"));
+    ck_assert_int_eq(w.begun, 1);
+    ck_assert_int_eq(w.begin, 200);
+    answer(&w, fd, str_of("a"));
+    ck_assert_int_eq(w.status, NONE);
+    answer(&w, fd, str_of("bc"));
+    ck_assert_int_eq(w.status, 200);
+    ck_assert_int_eq(w.begun, 1);
+    ck_assert_int_eq(call(&w), -1); /* on the same connection */
+    answer(&w, fd, str_of("HTTP/1.1 503 Busy\r\n" ANSWER_CHUNKED "3\r\nab"));
+    ck_assert_int_eq(w.begun, 2);
+    ck_assert_int_eq(w.begin, 503);
+    answer(&w, fd, str_of("c\r\n0\r\n\r\n"));
+    ck_assert_int_eq(w.status, 503);
+    ck_assert_int_eq(w.begun, 2);
+    close(fd);
+    teardown(&w);
+}
+END_TEST
+
+/* Guards against an answer that is reported as begun and is too large or
+ * malformed at once. */
+START_TEST(an_answer_that_is_not_used_is_not_reported)
+{
+    static const char *const texts[] = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 100000000\r\n\r\na",
+        "HTTP/1.1 200 OK\r\n" ANSWER_CHUNKED "x\r\na",
+    };
+    World w;
+
+    setup(&w);
+    kv_on_begin(w.conn, on_begin, &w);
+    for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+        int fd = call(&w);
+        answer(&w, fd, str_of(texts[i]));
+        ck_assert_int_lt(w.status, 100);
+        ck_assert_int_ne(w.status, NONE);
+        ck_assert_int_eq(w.begun, 0);
+        close(fd);
+    }
+    teardown(&w);
+}
+END_TEST
+
+T_MAIN("kv", an_answer_that_has_begun_is_reported_once,
+       an_answer_that_is_not_used_is_not_reported,
+       an_interim_answer_does_not_end_a_call,
        a_malformed_answer_counts_as_none)
