Ask for the newest values when a watch holds replaced ones

Cause: a watch returns each version of a key since its revision. After some changes of a large configuration its answer is larger than what the link carries in the time of the call, and only the last version counts.

Change: the answer of a watch is limited to 2.5 times the largest value seen, base64, 512 KB at least. kv knows from Content-Length that the answer is larger, so that nothing of it is received; the mirror then lists the operator's keys and finds the rest by a resync, as it does when the history is gone. One new version of a configuration is still received by the watch, and forwarded by gossip.

Test: replaced_versions_are_not_received failed before ("not called: PathPrefix=op/"). test_mirror (16), test_mirror_pages (6), test_regain (2), test_mirror_copies (1), test_kv (4) and test_kv_slow (11) pass.

--- a/src/kv.c
+++ b/src/kv.c
@@ -10,13 +10,6 @@
  * regions. */
 #define CONNECT_US 400000
 #define HEAD_MAX 16384
-#define BASE64_BYTES(n) ((n) / 3 * 4 + 4)
-/* A page is complete with the item that exceeds its bytes.  Its size is given
- * as "about", so an answer may be twice as large. */
-#define ANSWER_BYTES_MAX                                                      \
-    (2 *                                                                      \
-     (BASE64_BYTES(STORE_PAGE_BYTES) + BASE64_BYTES(STORE_VALUE_BYTES_MAX) +  \
-      STORE_PAGE_ITEMS * STORE_ITEM_BYTES))
 
 struct KvConn {
     Evl *loop;
@@ -28,6 +21,7 @@
     GString *request; /* of the last call */
     EvlTimer timer;
     XferLimit limit;
+    size_t bytes_max; /* of the body of an answer */
     guint unparsed; /* bytes of the answer that arrived before and are not read
                      */
     int64_t calls;  /* started so far */
@@ -128,8 +122,8 @@
         log_malformed(c, &e);
         finish(c, KV_NO_ANSWER);
     }
-    else if (c->answer.length > ANSWER_BYTES_MAX ||
-             c->answer.body->len > ANSWER_BYTES_MAX) {
+    else if (c->answer.length > (int64_t)c->bytes_max ||
+             c->answer.body->len > c->bytes_max) {
         finish(c, KV_TOO_LARGE);
     }
     else {
@@ -195,6 +189,7 @@
     c->loop = loop;
     c->log = log;
     c->at = *at;
+    c->bytes_max = KV_ANSWER_BYTES_MAX;
     h1_init(&c->answer, false);
     c->timer = (EvlTimer){.fn = on_timeout, .ctx = c};
     return c;
@@ -270,3 +265,9 @@
 {
     return c->answer.body->len;
 }
+
+void
+kv_limit_answer(KvConn *c, size_t bytes)
+{
+    c->bytes_max = bytes;
+}
--- a/src/kv.h
+++ b/src/kv.h
@@ -17,8 +17,17 @@
 #include "dlog.h"
 #include "err.h"
 #include "evl.h"
+#include "limits.h"
 #include "str.h"
 
+#define KV_BASE64_BYTES(n) ((n) / 3 * 4 + 4)
+/* A page is complete with the item that exceeds its bytes.  Its size is given
+ * as "about", so an answer may be twice as large. */
+#define KV_ANSWER_BYTES_MAX                                                   \
+    (2 * (KV_BASE64_BYTES(STORE_PAGE_BYTES) +                                 \
+          KV_BASE64_BYTES(STORE_VALUE_BYTES_MAX) +                            \
+          STORE_PAGE_ITEMS * STORE_ITEM_BYTES))
+
 typedef struct KvItem {
     char *key;
     GBytes *value; /* NULL when deleted */
@@ -94,6 +103,10 @@
  * connection.  NULL: none. */
 void kv_on_begin(KvConn *c, KvBegin fn, void *ctx);
 
+/* Limits the body of the answer to the next calls; a longer one ends with
+ * KV_TOO_LARGE.  KV_ANSWER_BYTES_MAX: no limit but the largest page. */
+void kv_limit_answer(KvConn *c, size_t bytes);
+
 /* Ends the connection, on which another answer may be under way.  Not during a
  * call. */
 void kv_disconnect(KvConn *c);
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -18,6 +18,11 @@
  * seconds has thousands to catch up with, so after an answer of this size it
  * watches again without a pause. */
 #define BEHIND_EVENTS 400
+/* The answer of a watch holds each version of a value.  One that is larger
+ * than both limits holds values that are already replaced, and a list brings
+ * the newest ones with fewer bytes. */
+#define WATCH_BYTES_MIN 524288
+#define WATCH_VALUES_MAX 2.5 /* in sizes of the largest value seen */
 
 static void feed_list(Feed *f);
 static void feed_list_urgent(Feed *f);
@@ -33,13 +38,23 @@
 }
 
 static void
-feed_call(Feed *f, GString *request, int64_t limit_us, KvDone done)
+feed_call(Feed *f, GString *request, int64_t limit_us, size_t bytes_max,
+          KvDone done)
 {
     f->m->calls++;
     f->call_start_us = evl_now(f->m->o.loop);
+    kv_limit_answer(f->conn, bytes_max);
     kv_call(f->conn, request, limit_us, done, f);
 }
 
+static size_t
+watch_bytes_max(const Feed *f)
+{
+    double values = WATCH_VALUES_MAX * (double)KV_BASE64_BYTES(f->value_bytes);
+
+    return (size_t)MAX(WATCH_BYTES_MIN, values);
+}
+
 static void
 feed_failed(Feed *f, const char *what, int status, int64_t now_us)
 {
@@ -94,6 +109,9 @@
     if (value == NULL) {
         registration_removed(f->m->registration, key);
     }
+    else {
+        f->value_bytes = MAX(f->value_bytes, g_bytes_get_size(value));
+    }
     f->m->o.fns.changed(f->m->o.ctx, key, value, rev, now_us);
 }
 
@@ -127,7 +145,6 @@
     m->o.fns.current(m->o.ctx, now_us);
 }
 
-
 static void
 on_resync(void *ctx, int64_t now_us)
 {
@@ -231,7 +248,7 @@
         f->list_start_us = evl_boottime();
     }
     feed_call(f, f->m->o.codec->list(f->prefix, f->after, f->stale),
-              CALL_TIMEOUT_US, on_list);
+              CALL_TIMEOUT_US, KV_ANSWER_BYTES_MAX, on_list);
 }
 
 static void
@@ -266,7 +283,7 @@
 {
     f->list_start_us = evl_boottime();
     feed_call(f, f->m->o.codec->list(f->m->o.urgent, NULL, false),
-              CALL_TIMEOUT_US, on_urgent);
+              CALL_TIMEOUT_US, KV_ANSWER_BYTES_MAX, on_urgent);
 }
 
 /* Drops the keys of a stale list that was not confirmed. */
@@ -358,7 +375,7 @@
     f->watch_wait_us = wait_ms * INT64_C(1000);
     feed_call(f,
               f->m->o.codec->watch(f->prefix, kvcache_rev(f->cache), wait_ms),
-              limit_us, on_watch);
+              limit_us, watch_bytes_max(f), on_watch);
 }
 
 static void
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -41,6 +41,7 @@
                                time */
     int64_t failed_us;      /* time of the last failed call; steady time */
     int64_t backoff_us;
+    size_t value_bytes; /* of the largest value so far */
     bool failing;
     bool urgent_pending; /* changes were missed; read the urgent keys first */
     Resync *resync;
--- a/tests/http_stub.h
+++ b/tests/http_stub.h
@@ -38,9 +38,10 @@
     GPtrArray *conns; /* StubConn, in the order of their arrival */
 } Stub;
 
-/* Sends a response.  Does nothing if the connection has ended. */
+/* Sends a response without its last bytes.  Does nothing if the connection has
+ * ended. */
 static inline void
-stub_respond(StubConn *c, int status, const char *body)
+stub_respond_part(StubConn *c, int status, const char *body, size_t withheld)
 {
     if (!c->strm.open) {
         return;
@@ -48,10 +49,17 @@
     char *text = g_strdup_printf("HTTP/1.1 %d Status\r\nContent-Length: "
                                  "%zu\r\n\r\n%s",
                                  status, strlen(body), body);
-    strm_write(&c->strm, text, strlen(text));
+    strm_write(&c->strm, text, strlen(text) - withheld);
     g_free(text);
 }
 
+/* Sends a response.  Does nothing if the connection has ended. */
+static inline void
+stub_respond(StubConn *c, int status, const char *body)
+{
+    stub_respond_part(c, status, body, 0);
+}
+
 /* Returns true if the target of the request contains the text. */
 static inline bool
 stub_target_has(const StubConn *c, const char *text)
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -35,6 +35,8 @@
     Stub stub;
     const Answer *script; /* ends with a NULL call */
     unsigned used;        /* bit set of the answers that were sent */
+    const Answer *cut;    /* the answer whose last bytes are not sent */
+    size_t withheld;      /* those bytes */
     int64_t after_us;     /* how long to run after the mirror is ready */
     Mirror *mirror;
     EvlTimer gossip; /* armed at the first failed call if gossip_rev is set */
@@ -115,7 +117,8 @@
         evl_arm(s->loop, &s->gossip, evl_now(s->loop) + NEWS_US);
     }
     if (a != NULL) { /* other calls stay open, e.g. watches */
-        stub_respond(c, a->status, a->body);
+        stub_respond_part(c, a->status, a->body,
+                          a == s->cut ? s->withheld : 0);
     }
 }
 
@@ -318,6 +321,17 @@
     run_store(s, script, after_us);
 }
 
+/* The same with an answer of the script whose last bytes are not sent. */
+static inline void
+run_cut(Store *s, const Answer *script, int64_t after_us, const Answer *cut,
+        size_t withheld)
+{
+    memset(s, 0, sizeof(*s));
+    s->cut = cut;
+    s->withheld = withheld;
+    run_store(s, script, after_us);
+}
+
 static inline void
 run(Store *s, const Answer *script, int64_t after_us)
 {
--- /dev/null
+++ b/tests/test_mirror_versions.c
@@ -0,0 +1,73 @@
+/* Tests of mirror: answers of a watch that hold several versions of a value,
+ * and requests that wait while an answer is being received. */
+#include "mirror_world.h"
+
+#define VALUE_BYTES 400000 /* of a configuration, base64 */
+#define EVENT_BYTES (VALUE_BYTES + 256)
+#define EVENTS_MAX 3
+#define FIRST 2 /* answer of a script after START_A_B */
+
+/* Returns the events of n versions of the configuration after revision 9;
+ * release it with g_free(). */
+static char *
+versions(int n)
+{
+    GString *g = g_string_sized_new((gsize)n * EVENT_BYTES);
+    char *value = g_strnfill(VALUE_BYTES, 'A');
+
+    g_string_append(g, "{\"events\":[");
+    for (int i = 0; i < n; i++) {
+        g_string_append_printf(g,
+                               "%s{\"Key\":\"op/config\",\"Value\":\"%s\","
+                               "\"Rev\":%d}",
+                               i == 0 ? "" : ",", value, 10 + i);
+    }
+    g_string_append_printf(g, "],\"CurrentRev\":%d}", 9 + n);
+    g_free(value);
+    return g_string_free(g, FALSE);
+}
+
+/* Guards against a VM that receives each version of a configuration that it
+ * has missed, over a slow link, where the newest one is all that counts. */
+START_TEST(replaced_versions_are_not_received)
+{
+    Store s;
+    char *body = versions(EVENTS_MAX);
+    const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, body},
+        {"PathPrefix=op/", 200, LIST(ITEM("op/config", "12"), "12")},
+        {"Serializable=1", 200,
+         LIST(ITEM("op/config", "12") "," ITEM("servers/a",
+                                               "3") "," ITEM("servers/b", "4"),
+              "12")},
+        {NULL, 0, NULL},
+    };
+
+    run_cut(&s, script, 1000000, &script[FIRST], 2 * VALUE_BYTES);
+    ck_assert_str_eq(s.at_end, "op/config servers/a servers/b ");
+    g_free(body);
+}
+END_TEST
+
+/* Guards against two calls, and no gossip, for each new version of a large
+ * configuration. */
+START_TEST(a_new_version_is_received_by_the_watch)
+{
+    Store s;
+    char *body = versions(1);
+    const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, body},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, 1000000);
+    ck_assert_str_eq(s.at_end, "op/config servers/a servers/b ");
+    ck_assert_str_eq(s.announced, "op/config ");
+    g_free(body);
+}
+END_TEST
+
+T_MAIN("mirror_versions", replaced_versions_are_not_received,
+       a_new_version_is_received_by_the_watch)
