Know that changes were missed when an answer begins

What callers saw: requests handled by an old configuration while the newer one was being received, for as long as the transfer took.

Cause: that the copy lacks changes was known with the end of the answer only, and reported again with each page, which extended the wait each time.

Change: an answer of the store that begins and is not whole reports that the copy is behind, once until it is current or a call fails. A new callback tells when the operator's keys are current, before a resync has found the rest.

Test: changes_are_missed_when_an_answer_begins failed before (n_behind 0, wanted 1).

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -69,6 +69,7 @@
         /* Not the answer to this call, which may still be under way. */
         kv_disconnect(f->conn);
     }
+    f->m->behind = false;
     f->m->o.fns.failed(f->m->o.ctx, now_us);
     f->failed_us = now_us;
     f->missed = false;
@@ -142,6 +143,7 @@
             return;
         }
     }
+    m->behind = false;
     m->o.fns.current(m->o.ctx, now_us);
 }
 
@@ -160,11 +162,23 @@
 {
     Mirror *m = f->m;
 
-    if (f->listed && mirror_feed_age_us(f) > m->o.propagation_us) {
+    if (!m->behind && f->listed &&
+        mirror_feed_age_us(f) > m->o.propagation_us) {
+        m->behind = true;
         m->o.fns.behind(m->o.ctx, now_us);
     }
 }
 
+/* The rest of the answer takes a while.  An answer of the store that does not
+ * arrive at once holds changes. */
+static void
+on_begin(void *ctx, int status, int64_t now_us)
+{
+    if (status == 200) {
+        changes_missed(ctx, now_us);
+    }
+}
+
 /* Records that the copy is as recent as the store's own answers. */
 static void
 mark_current(Feed *f, int64_t now_us)
@@ -271,6 +285,9 @@
     kvcache_merge(f->cache, &p, now_us);
     kvcache_set_rev(f->cache, p.rev);
     kv_page_clear(&p);
+    if (f->m->o.fns.urgent != NULL) {
+        f->m->o.fns.urgent(f->m->o.ctx, now_us);
+    }
     mirror_feed_confirm(f, f->list_start_us);
     feed_succeeded(f, now_us);
     mirror_feed_pause(f, false, now_us);
@@ -442,6 +459,7 @@
         f->m = m;
         f->prefix = o->prefixes[i];
         f->conn = kv_new(o->loop, &o->store, o->log);
+        kv_on_begin(f->conn, on_begin, f);
         f->cache = kvcache_new(on_key, f);
         f->pages = (KvPages){o->codec, o->log, f->prefix, 0};
         ResyncOpts go = {.loop = o->loop,
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -32,9 +32,13 @@
     void (*ready)(void *ctx, int64_t now_us);
     /* The copy is as recent as the store's own answers. */
     void (*current)(void *ctx, int64_t now_us);
-    /* The store answers again, and the copy lacks changes that are older than
-     * half the propagation time; "current" follows when they are known. */
+    /* The store answers, and the copy, which is older than the propagation
+     * time, lacks changes; "current" follows when they are known, or
+     * "failed". */
     void (*behind)(void *ctx, int64_t now_us);
+    /* The urgent keys are as recent as the store's own answers; the other
+     * missed changes may follow.  May be NULL. */
+    void (*urgent)(void *ctx, int64_t now_us);
     /* A call failed; the copy may be out of date. */
     void (*failed)(void *ctx, int64_t now_us);
     /* All changes before at_us (boot time) are known.  May be NULL. */
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -54,6 +54,7 @@
     Feed *feeds;
     int n_feeds;
     bool ready;
+    bool behind; /* MirrorFns.behind was called, and nothing since */
     int64_t calls;
     int64_t deferred;
     int64_t missing;
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -55,6 +55,7 @@
     char at_ready[256];
     char at_end[256];
     int n_behind; /* calls of MirrorFns.behind */
+    int n_urgent; /* calls of MirrorFns.urgent */
     /* "N:KEYS|" for each call of MirrorFns.current: the calls made by then and
      * the keys held. */
     char currents[1024];
@@ -188,6 +189,15 @@
     s->n_behind++;
 }
 
+static void
+on_urgent(void *ctx, int64_t now_us)
+{
+    Store *s = ctx;
+    (void)now_us;
+
+    s->n_urgent++;
+}
+
 static void
 on_news_timer(void *ctx, int64_t now_us)
 {
@@ -274,6 +284,7 @@
                 .ready = on_ready,
                 .current = on_current,
                 .behind = on_behind,
+                .urgent = on_urgent,
                 .failed = on_failed,
                 .confirmed = on_confirmed,
                 .announce = on_announce},
--- a/tests/test_mirror_versions.c
+++ b/tests/test_mirror_versions.c
@@ -5,7 +5,9 @@
 #define VALUE_BYTES 400000 /* of a configuration, base64 */
 #define EVENT_BYTES (VALUE_BYTES + 256)
 #define EVENTS_MAX 3
-#define FIRST 2 /* answer of a script after START_A_B */
+#define FIRST 2            /* answer of a script after START_A_B */
+#define REFUSED 5          /* answers 429 before the one that is cut */
+#define REFUSED_US 3500000 /* all refused calls and their pauses */
 
 /* Returns the events of n versions of the configuration after revision 9;
  * release it with g_free(). */
@@ -46,6 +48,7 @@
 
     run_cut(&s, script, 1000000, &script[FIRST], 2 * VALUE_BYTES);
     ck_assert_str_eq(s.at_end, "op/config servers/a servers/b ");
+    ck_assert_int_eq(s.n_urgent, 1);
     g_free(body);
 }
 END_TEST
@@ -65,9 +68,36 @@
     run(&s, script, 1000000);
     ck_assert_str_eq(s.at_end, "op/config servers/a servers/b ");
     ck_assert_str_eq(s.announced, "op/config ");
+    ck_assert_int_eq(s.n_urgent, 0);
+    g_free(body);
+}
+END_TEST
+
+/* Guards against requests that are handled by an old configuration while a
+ * newer one is being received: that changes were missed is known before the
+ * answer is complete. */
+START_TEST(changes_are_missed_when_an_answer_begins)
+{
+    Store s;
+    char *body = versions(1);
+    const Answer script[] = {
+        START_A_B,
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 200, body},
+        {NULL, 0, NULL},
+    };
+
+    run_cut(&s, script, REFUSED_US, &script[FIRST + REFUSED], VALUE_BYTES / 2);
+    ck_assert_str_eq(s.at_end, "servers/a servers/b ");
+    ck_assert_int_eq(s.n_behind, 1);
     g_free(body);
 }
 END_TEST
 
 T_MAIN("mirror_versions", replaced_versions_are_not_received,
-       a_new_version_is_received_by_the_watch)
+       a_new_version_is_received_by_the_watch,
+       changes_are_missed_when_an_answer_begins)
