Route requests by the configuration in force when they are sent

Cause: px fixed table, route and service when it read the head. A request that then waited for a newer view, for a recent copy of the store or for room was sent by the configuration of before, although it waits so that the newer one is known; and a request without a route got 404 without waiting at all. A connection that was established after a change was written to by the old route, also while the view was waited for. Change: route, service, deadlines and rank are resolved again, from the time of arrival, when the table has changed and no upstream may have received the request: at the dispatch, in the queue, before the request is written to a new connection, and after an attempt that sent nothing. A retry after an attempt that an upstream may have received keeps its table, so that no request runs by two configurations. While the view may be out of date, a request without a route waits in the queue at the lowest rank, then gets 404; otherwise 404 comes at once as before. The demand of a request counts for its first service only: it is measured at arrival, and counting at the end of a wait would make a gap and a burst in it. The check for a planned stop moved to the dispatch, as the deadline may become later there.

--- a/src/px.c
+++ b/src/px.c
@@ -3,15 +3,10 @@
 
 #include <inttypes.h>
 
-#include "hash.h"
 #include "pxtry.h"
 
 #define RETRY_SHUTDOWN_US 20000   /* other VMs accept the retry at once */
 #define RETRY_NO_ROUTES_US 500000 /* the first configuration is due soon */
-/* Grace after the route's timeout for a response that is nearly complete.  It
- * stays below 250 ms, since the platform counts a request as held when it is
- * still open for that time after its deadline. */
-#define RESPONSE_GRACE_US 150000
 
 static const char *const count_names[PX_COUNTS] = {
     "answered", "refused",  "failed",   "timed_out", "cut",
@@ -30,10 +25,28 @@
     }
 }
 
+static void
+refuse_unrouted(Req *r, int64_t now_us)
+{
+    if (r->p->view_complete) {
+        pxreq_respond(r, PX_UNROUTED, 404, "no_route", 0, now_us);
+    }
+    else {
+        pxreq_respond(r, PX_UNROUTED, 503, "no_configuration_yet",
+                      RETRY_NO_ROUTES_US, now_us);
+    }
+}
+
 /* Sends a request to an upstream, queues it, or refuses it. */
 static void
 dispatch(Req *r, int64_t now_us)
 {
+    pxreq_update_route(r, now_us);
+    if (gate_outlives_stop(&r->p->stop, r->last_us, now_us)) {
+        pxreq_respond(r, PX_REFUSED, 503, "leaving", RETRY_SHUTDOWN_US,
+                      now_us);
+        return;
+    }
     if (now_us >= r->end_us) {
         /* It was queued while this process got no processor time. */
         pxreq_apply_outcome(r, OUT_NOT_RUN, now_us);
@@ -44,10 +57,14 @@
         pxreq_respond(r, PX_CRASHES, 503, "crashes_upstreams", 0, now_us);
         return;
     }
-    if (now_us < r->p->view_wait_us || !pxreq_copy_is_usable(r->p, now_us)) {
+    if (!pxreq_view_is_usable(r->p, now_us)) {
         pxreq_enqueue(r, now_us);
         return;
     }
+    if (r->route == NULL) {
+        refuse_unrouted(r, now_us);
+        return;
+    }
     Ups *u = pxtry_pick(r, now_us);
     if (u != NULL) {
         pxtry_start(r, u, now_us);
@@ -62,12 +79,37 @@
     pxreq_respond(r, PX_REFUSED, 503, refusal(r->why), g.retry_us, now_us);
 }
 
+static int
+compare_ranks(const void *a, const void *b, void *ctx)
+{
+    int x = pxreq_rank(a);
+    int y = pxreq_rank(b);
+    (void)ctx;
+
+    return (x > y) - (x < y);
+}
+
+/* Applies a new table to the queued requests, whose ranks may change. */
+static void
+update_queue(Px *p, int64_t now_us)
+{
+    for (GList *l = p->queue.head; l != NULL; l = l->next) {
+        pxreq_update_route(l->data, now_us);
+    }
+    /* The sort is stable, so that requests of a rank keep their order. */
+    g_queue_sort(&p->queue, compare_ranks, NULL);
+    p->queue_outdated = false;
+}
+
 static void
 on_queue_timer(void *ctx, int64_t now_us)
 {
     Px *p = ctx;
     guint n = p->queue.length;
 
+    if (p->queue_outdated) {
+        update_queue(p, now_us);
+    }
     /* Requests that stay queued keep their positions; each is checked once
      * in a call. */
     GList *l = p->queue.head;
@@ -81,53 +123,23 @@
     }
 }
 
-static void
-set_deadlines(Req *r, int64_t now_us)
-{
-    uint64_t ms;
-    int64_t left_us = INT64_MAX / 2;
-    int64_t limit_us = r->route->timeout_us;
-
-    if (str_u64(h1_get(r->head, r->p->o.names->time_left_ms), DEADLINE_MS_MAX,
-                &ms)) {
-        left_us = (int64_t)ms * 1000;
-    }
-    r->begin_us = now_us;
-    r->end_us = now_us + MIN(left_us, limit_us);
-    r->last_us = now_us + MIN(left_us, limit_us + RESPONSE_GRACE_US);
-}
-
+/* route: NULL if the current table has none and a newer one is waited for. */
 static void
 begin(Px *p, Caller *c, const H1 *head, const RtRoute *route, Str attempt_id,
       int64_t now_us)
 {
-    Str object = h1_get(head, p->o.names->affinity_key);
-    uint64_t hash = hash_str(attempt_id, 0);
     Req *r = g_new0(Req, 1);
 
     r->p = p;
     r->caller = c;
     r->head = head;
-    r->table = rt_ref(p->table);
-    r->route = route;
-    r->service = rt_choose_service(p->table, route, hash);
-    r->demand = demand_service(p->o.demand, r->service->id);
     r->attempt = attempt_id;
-    r->object = route->sticky && object.n > 0 ? hash_str(object, 1) : hash;
-    set_deadlines(r, now_us);
+    r->begin_us = now_us;
+    pxreq_set_route(r, route, now_us);
     caller_set_user(c, r);
-    if (route->sticky && object.n > 0) {
-        plan_add(p->o.plan, r->service->id, r->object, 1, now_us);
-    }
-    demand_arrived(p->o.demand, r->demand, p->n_vms);
     r->fingerprint = crash_fingerprint(
-        h1_method(head), head->target, object,
+        h1_method(head), head->target, h1_get(head, p->o.names->affinity_key),
         (Str){(const char *)head->body->data, head->body->len});
-    if (gate_outlives_stop(&p->stop, r->last_us, now_us)) {
-        pxreq_respond(r, PX_REFUSED, 503, "leaving", RETRY_SHUTDOWN_US,
-                      now_us);
-        return;
-    }
     dispatch(r, now_us);
 }
 
@@ -153,7 +165,7 @@
                             RETRY_NO_ROUTES_US);
         return;
     }
-    if (route == NULL) {
+    if (route == NULL && pxreq_view_is_usable(p, now_us)) {
         p->counts[PX_UNROUTED]++;
         if (dlog_admit(p->o.log, true, now_us)) {
             dlog_event(p->o.log, DLOG_INFO, "request",
@@ -255,6 +267,7 @@
 {
     rt_unref(p->table);
     p->table = rt_ref(t);
+    p->queue_outdated = true;
 }
 
 const RtTable *
--- a/src/px.h
+++ b/src/px.h
@@ -43,7 +43,8 @@
 Px *px_new(const PxOpts *o);
 void px_free(Px *p);
 
-/* Takes a reference of the table. */
+/* Takes a reference of the table, which also applies to the requests that
+ * were not sent to an upstream yet. */
 void px_set_routes(Px *p, RtTable *t);
 const RtTable *px_routes(const Px *p);
 
@@ -67,7 +68,8 @@
 void px_store_failed(Px *p, int64_t now_us);
 
 /* Queues all requests until until_us, since the view of the store may be out
- * of date; 0: dispatches them again. */
+ * of date; 0: dispatches them again, by the routes that are then known.
+ * Requests without a route wait too. */
 void px_wait_for_view(Px *p, int64_t until_us);
 
 /* The process resumed after a pause.  Attempts that were sent before say
--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -3,9 +3,15 @@
 
 #include <inttypes.h>
 
+#include "hash.h"
+
 /* For which requests wait for a newer copy of the store: a failed call, a
  * connection and a round trip between regions. */
 #define COPY_WAIT_US 400000
+/* Grace after the route's timeout for a response that is nearly complete.  It
+ * stays below 250 ms, since the platform counts a request as held when it is
+ * still open for that time after its deadline. */
+#define RESPONSE_GRACE_US 150000
 
 bool
 pxreq_copy_is_usable(Px *p, int64_t now_us)
@@ -28,6 +34,74 @@
     return now_us >= p->copy_wait_us;
 }
 
+bool
+pxreq_view_is_usable(Px *p, int64_t now_us)
+{
+    return now_us >= p->view_wait_us && pxreq_copy_is_usable(p, now_us);
+}
+
+static void
+set_deadlines(Req *r)
+{
+    uint64_t ms;
+    int64_t left_us = INT64_MAX / 2;
+    int64_t limit_us = r->route == NULL ? left_us : r->route->timeout_us;
+
+    if (str_u64(h1_get(r->head, r->p->o.names->time_left_ms), DEADLINE_MS_MAX,
+                &ms)) {
+        left_us = (int64_t)ms * 1000;
+    }
+    r->end_us = r->begin_us + MIN(left_us, limit_us);
+    r->last_us = r->begin_us + MIN(left_us, limit_us + RESPONSE_GRACE_US);
+}
+
+void
+pxreq_set_route(Req *r, const RtRoute *route, int64_t now_us)
+{
+    Px *p = r->p;
+    Str object = h1_get(r->head, p->o.names->affinity_key);
+    uint64_t hash = hash_str(r->attempt, 0);
+    bool has_object = route != NULL && route->sticky && object.n > 0;
+
+    rt_unref(r->table);
+    r->table = rt_ref(p->table);
+    r->route = route;
+    r->service = NULL;
+    r->demand = NULL;
+    r->object = has_object ? hash_str(object, 1) : hash;
+    set_deadlines(r);
+    if (route == NULL) {
+        return;
+    }
+    r->service = rt_choose_service(p->table, route, hash);
+    r->demand = demand_service(p->o.demand, r->service->id);
+    if (has_object) {
+        plan_add(p->o.plan, r->service->id, r->object, 1, now_us);
+    }
+    if (!r->counted) {
+        r->counted = true;
+        demand_arrived(p->o.demand, r->demand, p->n_vms);
+    }
+}
+
+bool
+pxreq_update_route(Req *r, int64_t now_us)
+{
+    if (r->table == r->p->table || r->n_delivered > 0) {
+        return false;
+    }
+    pxreq_set_route(
+        r, rt_match(r->p->table, h1_get(r->head, "host"), r->head->target),
+        now_us);
+    return true;
+}
+
+int
+pxreq_rank(const Req *r)
+{
+    return r->route == NULL ? INT_MAX : r->route->rank;
+}
+
 void
 pxreq_log(const Req *r, const char *outcome, int status, int64_t now_us)
 {
@@ -48,16 +122,18 @@
                " usual_ms=%d away=%d new_conn=%d copy_age_ms=%" PRId64
                " requests=%d",
                dlog_name(r->attempt).s, outcome, status,
-               dlog_name(str_of(r->route->name)).s, rt_version(r->table),
-               dlog_name(str_of(r->service->name)).s, r->route->rank,
-               r->object, r->fingerprint, u == NULL ? "-" : u->id,
+               dlog_name(str_of(r->route == NULL ? "-" : r->route->name)).s,
+               rt_version(r->table),
+               dlog_name(str_of(r->route == NULL ? "-" : r->service->name)).s,
+               r->route == NULL ? -1 : r->route->rank, r->object,
+               r->fingerprint, u == NULL ? "-" : u->id,
                pick_reason_name(r->why), r->n_tried, r->ran ? 1 : 0,
                u == NULL ? 0 : ups_load(u, now_us), u == NULL ? 0 : u->slots,
                u == NULL ? 0 : (now_us - u->other_load_at_us) / 1000,
                (now_us - r->begin_us) / 1000, (r->end_us - now_us) / 1000,
-               r->route->latency_target_us / 1000,
+               r->route == NULL ? 0 : r->route->latency_target_us / 1000,
                u == NULL ? 0 : (r->sent_us - r->begin_us) / 1000,
-               (int)(r->demand->work_s * 1e3),
+               r->demand == NULL ? 0 : (int)(r->demand->work_s * 1e3),
                u != NULL && u->region != p->o.region ? 1 : 0,
                r->new_conn ? 1 : 0, r->copy_age_us / 1000, lines);
 }
@@ -92,16 +168,6 @@
     }
 }
 
-void
-pxreq_drop_unsent(Req *r, int64_t now_us)
-{
-    r->may_run = false;
-    pxreq_drop_upstream(r, now_us);
-    evl_disarm(r->p->o.loop, &r->timer);
-    r->state = REQ_PENDING;
-    ups_unref(r->tried[--r->n_tried]);
-}
-
 void
 pxreq_enqueue(Req *r, int64_t now_us)
 {
@@ -109,8 +175,7 @@
 
     if (r->queue_link.data == NULL) {
         GList *at = p->queue.head;
-        while (at != NULL &&
-               ((Req *)at->data)->route->rank <= r->route->rank) {
+        while (at != NULL && pxreq_rank(at->data) <= pxreq_rank(r)) {
             at = at->next;
         }
         r->queue_link.data = r;
@@ -121,6 +186,16 @@
     }
 }
 
+void
+pxreq_requeue(Req *r, int64_t now_us)
+{
+    r->may_run = false;
+    pxreq_drop_upstream(r, now_us);
+    evl_disarm(r->p->o.loop, &r->timer);
+    r->state = REQ_PENDING;
+    pxreq_enqueue(r, now_us);
+}
+
 void
 pxreq_dequeue(Req *r)
 {
@@ -156,15 +231,17 @@
 pxreq_gate(const Req *r, bool any_usable, int64_t queued_us, int64_t now_us)
 {
     GateIn in = {
-        .latency_target_us = r->route->latency_target_us,
         .queued_us = queued_us,
         .left_us = r->end_us - now_us,
-        .service_us = (int64_t)(r->demand->work_s * 1e6),
         .any_usable = any_usable,
         .wait_us = r->wait_us,
         .random = g_rand_double(r->p->o.rnd),
     };
 
+    if (r->route != NULL) {
+        in.latency_target_us = r->route->latency_target_us;
+        in.service_us = (int64_t)(r->demand->work_s * 1e6);
+    }
     return gate_decide(&in);
 }
 
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -18,9 +18,12 @@
     Caller *caller;
     const H1 *head;
     RtTable *table;
-    const RtRoute *route;
-    const RtService *service;
+    const RtRoute *route;     /* NULL: the table has none; the request may
+                                 wait for a newer one */
+    const RtService *service; /* NULL without a route, as is demand */
     DemandService *demand;
+    bool counted;  /* in the demand */
+    bool admitted; /* counted by demand_admitted() */
     ReqState state;
     Str attempt; /* id that the caller sent, not an attempt at an upstream */
     uint64_t object; /* hash of the affinity key on a sticky route, else of
@@ -80,6 +83,7 @@
     int64_t copy_waits;  /* times that requests waited for it */
     GateStop stop;
     GQueue queue;
+    bool queue_outdated; /* the table has changed since it was sorted */
     EvlTimer queue_timer;
     int64_t counts[PX_COUNTS];
     int64_t leaving_notices; /* upstreams that said that they leave */
@@ -94,6 +98,23 @@
  * is recent, or a newer one cannot be had. */
 bool pxreq_copy_is_usable(Px *p, int64_t now_us);
 
+/* The same, and nothing else shows that the view may be out of date; see
+ * px_wait_for_view(). */
+bool pxreq_view_is_usable(Px *p, int64_t now_us);
+
+/* Sets the route, which is one of the current table or NULL, the service and
+ * the deadlines.  The request counts in the demand of its first service only:
+ * demand is measured at arrival, and a request must not add to the retry
+ * budget twice. */
+void pxreq_set_route(Req *r, const RtRoute *route, int64_t now_us);
+
+/* Applies the current table to a request that no upstream may have received
+ * yet.  Returns true if its table has changed. */
+bool pxreq_update_route(Req *r, int64_t now_us);
+
+/* Rank of the route; the lowest without one. */
+int pxreq_rank(const Req *r);
+
 /* Logs how the request ended. */
 void pxreq_log(const Req *r, const char *outcome, int status, int64_t now_us);
 
@@ -103,13 +124,13 @@
 
 #define PXREQ_QUEUE_POLL_US 8000 /* between checks for capacity */
 
-/* The same for an attempt of which nothing was sent; it does not count. */
-void pxreq_drop_unsent(Req *r, int64_t now_us);
-
 /* Queues a request until the next check for capacity, by rank and then by
  * arrival. */
 void pxreq_enqueue(Req *r, int64_t now_us);
 
+/* Queues a request again whose running attempt, if any, has sent nothing. */
+void pxreq_requeue(Req *r, int64_t now_us);
+
 /* Removes the request from the queue for capacity, if it is there. */
 void pxreq_dequeue(Req *r);
 
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -155,6 +155,15 @@
     }
 }
 
+/* True if the next attempt has to be chosen by a newer view, which only a
+ * request can wait for that no upstream may have received. */
+static bool
+must_dispatch_again(const Req *r, int64_t now_us)
+{
+    return r->n_delivered == 0 && r->n_tried < PICK_TRIED_MAX &&
+           (r->table != r->p->table || !pxreq_view_is_usable(r->p, now_us));
+}
+
 /* Retries or ends the request after an attempt ended.  Closes r->conn unless
  * the connection was released before and r->conn is NULL. */
 static void
@@ -170,6 +179,10 @@
     pxreq_drop_upstream(r, now_us);
     r->n_delivered += received ? 1 : 0;
     r->ran = r->ran || (received && end != UP_NOT_RUN);
+    if (must_dispatch_again(r, now_us)) {
+        pxreq_requeue(r, now_us);
+        return;
+    }
     OutcomeIn in = {end, r->route->idempotent, r->ran, true};
     if (outcome_decide(&in) == OUT_RETRY) {
         next = pick_retry(r, now_us);
@@ -351,8 +364,27 @@
                              (is_short ? SHORT_BYTES : BACKLOG_BYTES));
 }
 
-/* Looks at the upstream again before the request is written to a new
- * connection, which may have taken CONNECT_US. */
+/* Applies a table that is newer than the choice of the upstream.  Returns true
+ * if the route, and the time left in the head that was prepared, still allow
+ * the attempt. */
+static bool
+still_allowed(Req *r, int64_t now_us)
+{
+    const Topology *topo = r->p->o.topology;
+    uint64_t service = r->service->id;
+    uint64_t object = r->object;
+    int64_t end_us = r->end_us;
+    int64_t last_us = r->last_us;
+
+    return !pxreq_update_route(r, now_us) ||
+           (r->route != NULL && r->service->id == service &&
+            r->object == object && r->end_us == end_us &&
+            r->last_us == last_us &&
+            rt_region_allowed(r->route, topo->regions[r->u->region]));
+}
+
+/* Looks at the upstream and the view again before the request is written to a
+ * new connection, which may have taken CONNECT_US. */
 static void
 before_sending(Req *r, int64_t now_us)
 {
@@ -361,10 +393,11 @@
     if (!ups_usable(p->o.upstreams, r->u)) {
         attempt_ended(r, UP_NOT_SENT, now_us);
     }
-    else if (!pxreq_copy_is_usable(p, now_us) && r->n_delivered == 0) {
-        /* It is chosen again with a recent copy of the store. */
-        pxreq_drop_unsent(r, now_us);
-        pxreq_enqueue(r, now_us);
+    else if (r->n_delivered == 0 &&
+             (!pxreq_view_is_usable(p, now_us) || !still_allowed(r, now_us))) {
+        /* The attempt does not count. */
+        ups_unref(r->tried[--r->n_tried]);
+        pxreq_requeue(r, now_us);
     }
 }
 
@@ -525,7 +558,8 @@
     int64_t left_ms = (r->last_us - now_us - RETURN_MARGIN_US) / 1000;
 
     pxreq_dequeue(r);
-    if (r->n_tried == 0) {
+    if (!r->admitted) {
+        r->admitted = true;
         demand_admitted(p->o.demand, r->demand);
     }
     r->timer.fn = on_timer;
--- a/src/rt.h
+++ b/src/rt.h
@@ -2,7 +2,8 @@
  * rt - routing table: the routes and services of one configuration.
  *
  * A table is built once and is read-only afterwards.  Each request holds a
- * reference, so it keeps the configuration under which it was accepted.
+ * reference, so it keeps the configuration under which it was first sent to an
+ * upstream.
  */
 #ifndef MIMOSA_RT_H
 #define MIMOSA_RT_H
--- a/tests/px_world.h
+++ b/tests/px_world.h
@@ -40,6 +40,8 @@
     int listener; /* of the upstream */
     Ups *u;
     DemandService *service;
+    int annex; /* listener of the upstream of "annex"; 0: none */
+    DemandService *annex_service;
 } World;
 
 static void
@@ -72,34 +74,102 @@
     return fd;
 }
 
+/* The route of a configuration. */
+typedef struct WorldRoute {
+    uint64_t version;
+    const char *service; /* "desk", or "annex" after world_add_annex() */
+    const char *prefix;  /* requests ask for "/x" */
+    bool idempotent;
+    int rank;
+    int64_t timeout_us;
+    const char *urgent; /* prefix of a second route, of rank 0; NULL: none */
+} WorldRoute;
+
 static inline void
-world_routes(World *w, bool idempotent)
+world_service(RtTable *t, const char *name)
 {
-    RtTable *t = rt_new(1);
-    RtService s = {.name = g_strdup("desk"),
-                   .id = hash_str(str_of("desk"), 0),
+    RtService s = {.name = g_strdup(name),
+                   .id = hash_str(str_of(name), 0),
                    .health_path = g_strdup("/"),
                    .max_conns = 100000,
                    .warmup_us = S,
                    .cold_per_s = 10};
+
+    rt_add_service(t, &s);
+}
+
+static inline void
+world_add_route(RtTable *t, const WorldRoute *o)
+{
     RtWeighted *all = g_new0(RtWeighted, 1);
 
-    *all = (RtWeighted){rt_add_service(t, &s), 1};
+    *all = (RtWeighted){rt_find_service(t, str_of(o->service)), 1};
     RtRoute r = {.name = g_strdup("all"),
-                 .prefix = g_strdup("/"),
-                 .idempotent = idempotent,
+                 .prefix = g_strdup(o->prefix),
+                 .idempotent = o->idempotent,
+                 .rank = o->rank,
                  .max_attempts = 2,
-                 .timeout_us = TIMEOUT_US,
+                 .timeout_us = o->timeout_us,
                  .latency_target_us = 400 * MS,
                  .weighted = all,
                  .n_weighted = 1,
                  .weight_sum = 1};
     rt_add_route(t, str_of("desk.example"), &r);
+}
+
+/* Puts a configuration in force. */
+static inline void
+world_set_route(World *w, const WorldRoute *o)
+{
+    RtTable *t = rt_new(o->version);
+    WorldRoute urgent = *o;
+
+    world_service(t, "desk");
+    world_service(t, "annex");
+    world_add_route(t, o);
+    if (o->urgent != NULL) {
+        urgent.prefix = o->urgent;
+        urgent.rank = 0;
+        world_add_route(t, &urgent);
+    }
     px_set_routes(w->px, t);
     rt_unref(t);
+}
+
+static inline void
+world_routes(World *w, bool idempotent)
+{
+    WorldRoute r = {1, "desk", "/", idempotent, 0, TIMEOUT_US, NULL};
+
+    world_set_route(w, &r);
     w->service = demand_service(w->demand, hash_str(str_of("desk"), 0));
 }
 
+/* Lets discovery report an upstream, on a listener that is returned. */
+static inline int
+world_upstream(World *w, const char *id, const char *service, int slots)
+{
+    struct sockaddr_in at;
+    int fd = world_bind(&at);
+
+    ck_assert_int_eq(listen(fd, 1024), 0);
+    UpsReport r = {.id = str_of(id),
+                   .service = str_of(service),
+                   .zone = str_of("z"),
+                   .slots = slots};
+    memcpy(&r.addr, &at, sizeof(at));
+    ups_report(w->set, &r, evl_now(w->loop));
+    return fd;
+}
+
+/* Adds the upstream "a-1" of the service "annex". */
+static inline void
+world_add_annex(World *w, int slots)
+{
+    w->annex = world_upstream(w, "a-1", "annex", slots);
+    w->annex_service = demand_service(w->demand, hash_str(str_of("annex"), 0));
+}
+
 static inline void
 world_listen(World *w)
 {
@@ -121,7 +191,6 @@
 static inline void
 world_init(World *w, bool idempotent, int slots)
 {
-    struct sockaddr_in at;
     DlogOpts lo = {STDERR_FILENO, 100, 65536};
     static const PickVm self = {1, 0};
 
@@ -152,14 +221,7 @@
                  .rnd = w->rnd,
                  .copy_age_max_us = COPY_AGE_MAX_US};
     w->px = px_new(&po);
-    w->listener = world_bind(&at);
-    ck_assert_int_eq(listen(w->listener, 1024), 0);
-    UpsReport r = {.id = str_of("u-1"),
-                   .service = str_of("desk"),
-                   .zone = str_of("z"),
-                   .slots = slots};
-    memcpy(&r.addr, &at, sizeof(at));
-    ups_report(w->set, &r, evl_now(w->loop));
+    w->listener = world_upstream(w, "u-1", "desk", slots);
     w->u = ups_find(w->set, str_of("u-1"));
     world_routes(w, idempotent);
     px_view_complete(w->px);
@@ -181,20 +243,23 @@
     g_rand_free(w->rnd);
     dlog_free(w->log);
     close(w->listener);
+    if (w->annex > 0) {
+        close(w->annex);
+    }
     evl_free(w->loop);
 }
 
 /* Connects a caller that sends a request.  Returns its socket. */
 static inline int
-world_ask(World *w, const char *id, int deadline_ms)
+world_ask_path(World *w, const char *id, const char *path, int deadline_ms)
 {
     int fd = socket(AF_INET, SOCK_STREAM, 0);
-    char *text = g_strdup_printf("POST /x HTTP/1.1\r\n"
+    char *text = g_strdup_printf("POST %s HTTP/1.1\r\n"
                                  "Host: desk.example\r\n"
                                  "X-Mimosascale-Attempt-Id: %s\r\n"
                                  "X-Mimosascale-Deadline-Ms: %d\r\n"
                                  "Content-Length: 0\r\n\r\n",
-                                 id, deadline_ms);
+                                 path, id, deadline_ms);
 
     ck_assert_int_eq(
         connect(fd, (struct sockaddr *)&w->entry, sizeof(w->entry)), 0);
@@ -204,6 +269,12 @@
     return fd;
 }
 
+static inline int
+world_ask(World *w, const char *id, int deadline_ms)
+{
+    return world_ask_path(w, id, "/x", deadline_ms);
+}
+
 /* Accepts a connection at the upstream; -1 if there is none. */
 static inline int
 world_accept(World *w)
