Refuse requests by routes that are known to be out of date

Cause: on_view_behind() lets requests wait for 1 s. When the changes take longer, px used the old routes although the VM knew that they are old. Change: px_set_routes_behind(). Once the wait has ended, requests are refused with 503 configuration_outdated and a Retry-After of 20 ms, which other VMs accept, until the view is current; also those without a route. New counter edge_requests_outdated_total, log lines routes_behind and routes_current. edge clears the state in on_view_current(). Evidence: with a px_set_routes_behind() that does nothing, the 6 new checks of tests/test_px_routes.c fail (no answer instead of 503; 404; the request is written to the upstream).

--- a/src/edge.c
+++ b/src/edge.c
@@ -203,18 +203,23 @@
 static void
 on_view_current(void *ctx, int64_t now_us)
 {
+    Edge *g = ctx;
     (void)now_us;
-    px_wait_for_view(((Edge *)ctx)->px, 0);
+
+    px_set_routes_behind(g->px, false);
+    px_wait_for_view(g->px, 0);
 }
 
 /* Requests must not use upstreams or routes that were withdrawn while this VM
- * was cut off, so they are queued until the changes are known. */
+ * was cut off, so they are queued until the changes are known, and refused if
+ * that takes longer. */
 static void
 on_view_behind(void *ctx, int64_t now_us)
 {
     Edge *g = ctx;
 
     dlog_event(g->log, DLOG_WARN, "store", "event=changes_missed");
+    px_set_routes_behind(g->px, true);
     px_wait_for_view(g->px, now_us + VIEW_BEHIND_WAIT_US);
 }
 
--- a/src/px.c
+++ b/src/px.c
@@ -5,12 +5,12 @@
 
 #include "pxtry.h"
 
-#define RETRY_SHUTDOWN_US 20000   /* other VMs accept the retry at once */
+#define RETRY_OTHER_VM_US 20000   /* other VMs accept the retry at once */
 #define RETRY_NO_ROUTES_US 500000 /* the first configuration is due soon */
 
 static const char *const count_names[PX_COUNTS] = {
-    "answered", "refused",  "failed",   "timed_out", "cut",
-    "left",     "unrouted", "bad_head", "retries",   "crashes"};
+    "answered", "refused",  "failed",  "timed_out", "cut",     "left",
+    "unrouted", "bad_head", "retries", "crashes",   "outdated"};
 
 static const char *
 refusal(PickReason why)
@@ -43,7 +43,7 @@
 {
     pxreq_update_route(r, now_us);
     if (gate_outlives_stop(&r->p->stop, r->last_us, now_us)) {
-        pxreq_respond(r, PX_REFUSED, 503, "leaving", RETRY_SHUTDOWN_US,
+        pxreq_respond(r, PX_REFUSED, 503, "leaving", RETRY_OTHER_VM_US,
                       now_us);
         return;
     }
@@ -57,6 +57,11 @@
         pxreq_respond(r, PX_CRASHES, 503, "crashes_upstreams", 0, now_us);
         return;
     }
+    if (pxreq_routes_are_outdated(r->p, now_us)) {
+        pxreq_respond(r, PX_OUTDATED, 503, "configuration_outdated",
+                      RETRY_OTHER_VM_US, now_us);
+        return;
+    }
     if (!pxreq_view_is_usable(r->p, now_us)) {
         pxreq_enqueue(r, now_us);
         return;
@@ -319,6 +324,20 @@
     p->view_wait_us = until_us;
 }
 
+void
+px_set_routes_behind(Px *p, bool behind)
+{
+    if (behind != p->routes_behind) {
+        dlog_event(p->o.log, behind ? DLOG_WARN : DLOG_INFO, "store",
+                   "event=%s", behind ? "routes_behind" : "routes_current");
+    }
+    p->routes_behind = behind;
+    if (behind) {
+        /* The store has answered: an earlier outage has ended. */
+        p->store_failed_us = 0;
+    }
+}
+
 void
 px_resumed(Px *p, int64_t now_us)
 {
--- a/src/px.h
+++ b/src/px.h
@@ -72,6 +72,13 @@
  * Requests without a route wait too. */
 void px_wait_for_view(Px *p, int64_t until_us);
 
+/* The store answers, and the configuration in effect is known to be out of
+ * date.  Requests wait as px_wait_for_view() says, then are refused with 503
+ * and a short Retry-After, until behind is false.  While calls to the store
+ * have failed for some time since the last call of this function, requests
+ * are served by the old routes, as in an outage of the store. */
+void px_set_routes_behind(Px *p, bool behind);
+
 /* The process resumed after a pause.  Attempts that were sent before say
  * nothing about their upstreams. */
 void px_resumed(Px *p, int64_t now_us);
--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -13,15 +13,22 @@
  * still open for that time after its deadline. */
 #define RESPONSE_GRACE_US 150000
 
+/* True while calls to the store have failed for so long that newer changes
+ * cannot be had. */
+static bool
+store_is_away(const Px *p, int64_t now_us)
+{
+    return p->store_failed_us != 0 &&
+           now_us - p->store_failed_us >= COPY_WAIT_US;
+}
+
 bool
 pxreq_copy_is_usable(Px *p, int64_t now_us)
 {
     int64_t age_us = now_us - p->confirmed_us;
 
     if (p->o.copy_age_max_us == 0 || p->confirmed_us == 0 ||
-        age_us <= p->o.copy_age_max_us ||
-        (p->store_failed_us != 0 &&
-         now_us - p->store_failed_us >= COPY_WAIT_US)) {
+        age_us <= p->o.copy_age_max_us || store_is_away(p, now_us)) {
         return true;
     }
     if (p->copy_wait_us == 0) {
@@ -34,10 +41,19 @@
     return now_us >= p->copy_wait_us;
 }
 
+bool
+pxreq_routes_are_outdated(const Px *p, int64_t now_us)
+{
+    return p->routes_behind && now_us >= p->view_wait_us &&
+           !store_is_away(p, now_us);
+}
+
 bool
 pxreq_view_is_usable(Px *p, int64_t now_us)
 {
-    return now_us >= p->view_wait_us && pxreq_copy_is_usable(p, now_us);
+    return now_us >= p->view_wait_us &&
+           !pxreq_routes_are_outdated(p, now_us) &&
+           pxreq_copy_is_usable(p, now_us);
 }
 
 static void
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -59,8 +59,9 @@
     PX_CALLER_DISCONNECTED, /* the caller disconnected before the end */
     PX_UNROUTED,
     PX_BAD_HEAD,
-    PX_RETRIES, /* attempts that followed one that may have been received */
-    PX_CRASHES, /* refused, since it crashes upstreams */
+    PX_RETRIES,  /* attempts that followed one that may have been received */
+    PX_CRASHES,  /* refused, since it crashes upstreams */
+    PX_OUTDATED, /* refused, see px_set_routes_behind() */
     PX_COUNTS
 } PxCount;
 
@@ -74,13 +75,14 @@
     int64_t max_rtt_us;
     bool view_complete;   /* see px_view_complete() */
     int64_t view_wait_us; /* see px_wait_for_view() */
+    bool routes_behind;   /* see px_set_routes_behind() */
     int64_t resumed_us;   /* see px_resumed() */
     int64_t confirmed_us; /* see px_set_confirmed() */
     int64_t copy_wait_us; /* until then requests wait for a newer copy of the
                              store; 0: the copy is not too old */
-    int64_t
-        store_failed_us; /* first failed call since confirmed_us; 0: none */
-    int64_t copy_waits;  /* times that requests waited for it */
+    int64_t store_failed_us; /* first failed call since confirmed_us or
+                                px_set_routes_behind(); 0: none */
+    int64_t copy_waits;      /* times that requests waited for it */
     GateStop stop;
     GQueue queue;
     bool queue_outdated; /* the table has changed since it was sorted */
@@ -98,8 +100,12 @@
  * is recent, or a newer one cannot be had. */
 bool pxreq_copy_is_usable(Px *p, int64_t now_us);
 
-/* The same, and nothing else shows that the view may be out of date; see
- * px_wait_for_view(). */
+/* True if requests are refused because the routes are known to be out of date;
+ * see px_set_routes_behind(). */
+bool pxreq_routes_are_outdated(const Px *p, int64_t now_us);
+
+/* True if a request may be sent by the routes and the upstreams that this VM
+ * knows: requests neither wait for newer ones nor are refused for that. */
 bool pxreq_view_is_usable(Px *p, int64_t now_us);
 
 /* Sets the route, which is one of the current table or NULL, the service and
