Add the time before sending to the age of gossip

Cause: a message carries the age of its sender's knowledge, computed when the store's answer was handled. Datagrams of large messages, and messages without changes behind them, wait for half of the rate of the link. Receivers confirmed their copy at arrival less the age, so by the time waited too late; they deferred their own watch and did not let requests wait. A message also counted from its last fragment, however late that one came.

The pacer now adds the time waited to the datagram that leaves: to the age of a whole message, and to a new word in the head of each fragment. The receiver counts from the least arrival less time waited among the fragments. The format of fragments has a new magic number.

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -1,6 +1,7 @@
 /* gossip - changes of the store, forwarded to nearby VMs.  See gossip.h. */
 #include "gossip.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #include <rpc/rpc.h>
@@ -9,6 +10,7 @@
 
 #define MAGIC 0x6d696e32U    /* "min2": format version 2 */
 #define HEAD_SIZE 32         /* magic, feed, from, to, age, count */
+#define AGE_AT 24            /* offset of the age in the head */
 #define ITEM_SIZE 20         /* revision, deleted, lengths */
 #define ITEMS_MAX 64         /* items in a datagram */
 #define WHOLE_ITEMS_MAX 4096 /* items in a fragmented message */
@@ -231,6 +233,20 @@
                          e);
 }
 
+void
+gossip_add_age(char *p, size_t n, int64_t waited_us)
+{
+    uint32_t age_ms;
+
+    if (n < HEAD_SIZE) {
+        return;
+    }
+    memcpy(&age_ms, p + AGE_AT, sizeof(age_ms));
+    int64_t sum_ms = ntohl(age_ms) + (MAX(waited_us, 0) + 999) / 1000;
+    age_ms = htonl((uint32_t)MIN(sum_ms, AGE_MS_MAX));
+    memcpy(p + AGE_AT, &age_ms, sizeof(age_ms));
+}
+
 GossipOrder
 gossip_order(uint64_t rev, uint64_t from, uint64_t to)
 {
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -28,7 +28,9 @@
 typedef struct Gossip {
     int feed; /* index of the watched prefix, see MirrorOpts.prefixes */
     uint64_t from;
-    int64_t age_us; /* all changes older than this were known to the sender */
+    int64_t age_us; /* all changes older than this were known to the sender;
+                       counts from the arrival of the datagram, of the last one
+                       for fragments */
     KvPage page;    /* cleared with kv_page_clear() */
 } Gossip;
 
@@ -67,6 +69,9 @@
 /* Errors: ERR_PROTOCOL. */
 bool gossip_decode(Gossip *w, const char *p, size_t n, Err *e);
 
+/* Adds the time for which an encoded whole message has waited to its age. */
+void gossip_add_age(char *p, size_t n, int64_t waited_us);
+
 typedef enum GossipOrder {
     GOSSIP_OLD,    /* the VM already has later revisions */
     GOSSIP_NEXT,   /* continues or confirms the VM's revision */
--- a/src/gossipfrag.c
+++ b/src/gossipfrag.c
@@ -1,6 +1,7 @@
 /* gossipfrag - gossip messages sent as fragments.  See gossipfrag.h. */
 #include "gossipfrag.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 #include <rpc/rpc.h>
@@ -8,8 +9,9 @@
 
 #include "dgram.h"
 
-#define MAGIC 0x6d696e70U /* "minp" */
-#define HEAD_SIZE 24      /* magic, id, index, count, compressed length */
+#define MAGIC 0x6d696e71U /* "minq": format version 2 */
+#define HEAD_SIZE 28 /* magic, id, index, count, compressed length, waited */
+#define WAITED_AT 24 /* offset of the time waited, in ms */
 #define FRAG_BYTES (GOSSIP_BYTES_MAX - HEAD_SIZE)
 #define ZSTD_LEVEL 1   /* enough, as the names in the entries repeat */
 #define MESSAGES_MAX 4 /* messages under reassembly at the same time */
@@ -19,6 +21,7 @@
     u_int index;
     u_int count;
     u_int bytes;
+    u_int waited_ms; /* before the fragment was sent */
 } Head;
 
 typedef struct Message {
@@ -26,7 +29,8 @@
     uint64_t have[GOSSIPFRAG_MAX / 64]; /* bit set of the fragments received */
     u_int n_have;
     uint8_t *data;
-    uint32_t used; /* sequence number of the last fragment, for eviction */
+    int64_t split_us; /* least since_us without the time waited */
+    uint32_t used;    /* sequence number of the last fragment, for eviction */
 } Message;
 
 struct GossipFrag {
@@ -42,7 +46,8 @@
 
     return xdr_u_int(x, &magic) && magic == MAGIC &&
            xdr_u_int64_t(x, &h->id) && xdr_u_int(x, &h->index) &&
-           xdr_u_int(x, &h->count) && xdr_u_int(x, &h->bytes);
+           xdr_u_int(x, &h->count) && xdr_u_int(x, &h->bytes) &&
+           xdr_u_int(x, &h->waited_ms);
 }
 
 static GBytes *
@@ -82,8 +87,8 @@
         u_int count = (u_int)((n + FRAG_BYTES - 1) / FRAG_BYTES);
         out = g_ptr_array_new_with_free_func(unref_bytes);
         for (u_int i = 0; i < count; i++) {
-            g_ptr_array_add(out,
-                            fragment(packed, (Head){id, i, count, (u_int)n}));
+            g_ptr_array_add(
+                out, fragment(packed, (Head){id, i, count, (u_int)n, 0}));
         }
     }
     g_free(packed);
@@ -97,6 +102,20 @@
     return dgram_is(p, n, MAGIC);
 }
 
+void
+gossipfrag_add_wait(char *p, size_t n, int64_t waited_us)
+{
+    uint32_t waited_ms;
+
+    if (n < HEAD_SIZE) {
+        return;
+    }
+    memcpy(&waited_ms, p + WAITED_AT, sizeof(waited_ms));
+    int64_t sum_ms = ntohl(waited_ms) + (MAX(waited_us, 0) + 999) / 1000;
+    waited_ms = htonl((uint32_t)MIN(sum_ms, UINT32_MAX));
+    memcpy(p + WAITED_AT, &waited_ms, sizeof(waited_ms));
+}
+
 GossipFrag *
 gossipfrag_new(void)
 {
@@ -144,7 +163,8 @@
         s->incomplete++;
     }
     g_free(oldest->data);
-    *oldest = (Message){.head = *h, .data = g_malloc(h->bytes)};
+    *oldest = (Message){
+        .head = *h, .data = g_malloc(h->bytes), .split_us = INT64_MAX};
     return oldest;
 }
 
@@ -165,7 +185,8 @@
 }
 
 GossipFragResult
-gossipfrag_add(GossipFrag *s, const char *p, size_t n, Gossip *w)
+gossipfrag_add(GossipFrag *s, const char *p, size_t n, int64_t since_us,
+               Gossip *w)
 {
     char buf[HEAD_SIZE];
     Head h;
@@ -192,8 +213,13 @@
         return GOSSIPFRAG_MORE;
     }
     c->have[h.index / 64] |= bit;
+    c->split_us = MIN(c->split_us, since_us - h.waited_ms * INT64_C(1000));
     if (++c->n_have < h.count) {
         return GOSSIPFRAG_MORE;
     }
-    return decompress(c, w) ? GOSSIPFRAG_COMPLETE : GOSSIPFRAG_BAD;
+    if (!decompress(c, w)) {
+        return GOSSIPFRAG_BAD;
+    }
+    w->age_us += since_us - c->split_us;
+    return GOSSIPFRAG_COMPLETE;
 }
--- a/src/gossipfrag.h
+++ b/src/gossipfrag.h
@@ -6,6 +6,9 @@
  * once, and from configurations with many routes.  Without fragments each of
  * the dozens of VMs of a zone would ask the store.  A receiver that misses a
  * fragment cannot use the message.
+ *
+ * The age of the message is inside the compressed part.  Fragments may wait
+ * before they are sent, so each carries the time for which it has waited.
  */
 #ifndef MIMOSA_GOSSIPFRAG_H
 #define MIMOSA_GOSSIPFRAG_H
@@ -28,6 +31,9 @@
 /* Returns true if the datagram is a fragment of a gossip message. */
 bool gossipfrag_is(const char *p, size_t n);
 
+/* Adds the time for which a fragment has waited. */
+void gossipfrag_add_wait(char *p, size_t n, int64_t waited_us);
+
 /* Reassembles fragments. */
 typedef struct GossipFrag GossipFrag;
 
@@ -44,8 +50,9 @@
     GOSSIPFRAG_BAD       /* malformed or of another format */
 } GossipFragResult;
 
-/* Adds a received fragment. */
+/* Adds a received fragment.  since_us: the fragment has arrived after it;
+ * w->age_us counts from the one of the last fragment. */
 GossipFragResult gossipfrag_add(GossipFrag *s, const char *p, size_t n,
-                                Gossip *w);
+                                int64_t since_us, Gossip *w);
 
 #endif
--- a/src/gossipsend.c
+++ b/src/gossipsend.c
@@ -109,6 +109,7 @@
 typedef struct Waiting {
     void *to;
     GBytes *datagram;
+    int64_t since_us;
 } Waiting;
 
 struct Pacer {
@@ -153,7 +154,8 @@
 }
 
 bool
-pacer_add(Pacer *p, const void *to, size_t to_size, GBytes *datagram)
+pacer_add(Pacer *p, const void *to, size_t to_size, GBytes *datagram,
+          int64_t now_us)
 {
     size_t n = g_bytes_get_size(datagram);
 
@@ -161,12 +163,31 @@
         return false;
     }
     Waiting *w = g_new(Waiting, 1);
-    *w = (Waiting){g_memdup2(to, to_size), g_bytes_ref(datagram)};
+    *w = (Waiting){g_memdup2(to, to_size), g_bytes_ref(datagram), now_us};
     g_queue_push_tail(&p->waiting, w);
     p->waiting_bytes += n;
     return true;
 }
 
+/* Sends a copy of the datagram, which others may share, with its present age.
+ */
+static void
+send_waiting(Pacer *p, const Waiting *w, int64_t now_us)
+{
+    gsize n;
+    const char *data = g_bytes_get_data(w->datagram, &n);
+    char *copy = g_memdup2(data, n);
+
+    if (gossipfrag_is(copy, n)) {
+        gossipfrag_add_wait(copy, n, now_us - w->since_us);
+    }
+    else if (gossip_is(copy, n)) {
+        gossip_add_age(copy, n, now_us - w->since_us);
+    }
+    p->send(p->ctx, w->to, copy, n);
+    g_free(copy);
+}
+
 bool
 pacer_step(Pacer *p, int64_t now_us)
 {
@@ -177,7 +198,7 @@
         if (!bucket_take(&p->allowed, p->per_s, burst, now_us)) {
             return true;
         }
-        p->send(p->ctx, w->to, w->datagram);
+        send_waiting(p, w, now_us);
         drop_first(p);
     }
     return false;
--- a/src/gossipsend.h
+++ b/src/gossipsend.h
@@ -9,7 +9,8 @@
  * lack a fragment that they have to ask the store.
  *
  * Fragments for many VMs would fill the queue of a slow link, which drops the
- * rest and delays requests.  They are sent at a part of the link's rate.
+ * rest and delays requests.  They are sent at a part of the link's rate.  The
+ * time for which a datagram has waited is added to the age that it carries.
  */
 #ifndef MIMOSA_GOSSIPSEND_H
 #define MIMOSA_GOSSIPSEND_H
@@ -40,13 +41,14 @@
 
 /* send: sends a datagram to a receiver; ctx: its context.  link_mbps: rate of
  * the link. */
-typedef void (*PacerFn)(void *ctx, const void *to, GBytes *datagram);
+typedef void (*PacerFn)(void *ctx, const void *to, const char *data, size_t n);
 Pacer *pacer_new(double link_mbps, PacerFn send, void *ctx);
 void pacer_free(Pacer *p);
 
 /* Appends a datagram.  to_size: bytes at "to", which are copied.  Returns
  * false if it is dropped, as too many bytes wait. */
-bool pacer_add(Pacer *p, const void *to, size_t to_size, GBytes *datagram);
+bool pacer_add(Pacer *p, const void *to, size_t to_size, GBytes *datagram,
+               int64_t now_us);
 
 /* Sends what the rate allows; to be called every GOSSIPSEND_STEP_US.  Returns
  * true while datagrams wait. */
--- a/src/peer.c
+++ b/src/peer.c
@@ -187,7 +187,8 @@
     Gossip w;
 
     if (gossipfrag_is(buf, n)) {
-        GossipFragResult use = gossipfrag_add(p->fragments, buf, n, &w);
+        GossipFragResult use =
+            gossipfrag_add(p->fragments, buf, n, evl_since(p->loop), &w);
         if (use == GOSSIPFRAG_COMPLETE) {
             deliver_gossip(p, &w);
         }
@@ -234,11 +235,8 @@
 }
 
 static void
-send_datagram(void *ctx, const void *to, GBytes *datagram)
+send_datagram(void *ctx, const void *to, const char *data, size_t n)
 {
-    gsize n;
-    const char *data = g_bytes_get_data(datagram, &n);
-
     peer_send(ctx, to, data, n);
 }
 
@@ -247,7 +245,7 @@
 {
     Peer *p = ctx;
 
-    if (pacer_step(p->pacer, now_us)) {
+    if (pacer_step(p->pacer, evl_boottime())) {
         evl_arm(p->loop, &p->pace, now_us + GOSSIPSEND_STEP_US);
     }
 }
@@ -304,7 +302,7 @@
 void
 peer_send_paced(Peer *p, const struct sockaddr_in *to, GBytes *datagram)
 {
-    if (!pacer_add(p->pacer, to, sizeof(*to), datagram)) {
+    if (!pacer_add(p->pacer, to, sizeof(*to), datagram, evl_boottime())) {
         p->unsent++;
     }
     else if (p->pace.heap_index == 0) {
--- a/standins/peer.c
+++ b/standins/peer.c
@@ -59,7 +59,7 @@
     while ((n = recv(fd, buf, sizeof(buf), 0)) >= 0) {
         Gossip w;
         if (gossipfrag_is(buf, (size_t)n)) {
-            if (gossipfrag_add(fragments, buf, (size_t)n, &w) ==
+            if (gossipfrag_add(fragments, buf, (size_t)n, 0, &w) ==
                 GOSSIPFRAG_COMPLETE) {
                 print_message(&w, true);
             }
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -218,7 +218,7 @@
         ck_assert(!gossip_is(p, n));
         ck_assert_uint_le(n, GOSSIP_BYTES_MAX);
         if ((int)k != lost) {
-            result = gossipfrag_add(s, p, n, w);
+            result = gossipfrag_add(s, p, n, 0, w);
         }
     }
     return result;
@@ -273,6 +273,49 @@
 }
 END_TEST
 
+/* Guards against a message that counts as newer than its first fragment, when
+ * others arrive late. */
+START_TEST(age_counts_from_the_first_fragment)
+{
+    static const int64_t late_us[] = {0, 300000, 50000};
+    Changes f = {.n = 0};
+    GossipFrag *s = gossipfrag_new();
+    GRand *rnd = g_rand_new_with_seed(5);
+    char noise[3000]; /* does not compress */
+    Gossip w;
+    int64_t since_us = 0;
+
+    for (size_t k = 0; k < sizeof(noise); k++) {
+        noise[k] = (char)g_rand_int(rnd);
+    }
+    add(&f, 101, 1);
+    g_bytes_unref(f.items[0].value);
+    f.items[0].value = g_bytes_new(noise, sizeof(noise));
+    GossipOut o = {0, 100, 101, f.list, f.n, AGE_US};
+    GPtrArray *fragments = gossipfrag_split(&o, 1);
+    ck_assert_uint_eq(fragments->len, G_N_ELEMENTS(late_us));
+    for (guint i = 0; i < fragments->len; i++) {
+        gsize n;
+        const char *p = g_bytes_get_data(g_ptr_array_index(fragments, i), &n);
+        char *copy = g_memdup2(p, n);
+        int64_t waited_us = 100000 * i;
+        gossipfrag_add_wait(copy, n, waited_us);
+        since_us = MAX(since_us, waited_us + late_us[i]);
+        GossipFragResult result = gossipfrag_add(s, copy, n, since_us, &w);
+        ck_assert_int_eq(result == GOSSIPFRAG_COMPLETE,
+                         i + 1 == fragments->len);
+        g_free(copy);
+    }
+    ck_assert_int_ge(w.age_us, AGE_US + since_us);
+    ck_assert_int_lt(w.age_us, AGE_US + since_us + 1000);
+    kv_page_clear(&w.page);
+    g_ptr_array_free(fragments, TRUE);
+    gossipfrag_free(s);
+    g_rand_free(rnd);
+    clear(&f);
+}
+END_TEST
+
 /* Guards against malformed fragments that crash the program or exhaust
  * memory. */
 START_TEST(malformed_fragments_are_rejected)
@@ -294,7 +337,7 @@
         copy[4 + g_rand_int_range(rnd, 0, (int)n - 4)] ^=
             (char)(1 << g_rand_int_range(rnd, 0, 8));
         gsize cut = (gsize)g_rand_int_range(rnd, 0, (int)n + 1);
-        if (gossipfrag_add(s, copy, i % 2 == 0 ? n : cut, &w) ==
+        if (gossipfrag_add(s, copy, i % 2 == 0 ? n : cut, 0, &w) ==
             GOSSIPFRAG_COMPLETE) {
             kv_page_clear(&w.page);
         }
@@ -312,4 +355,5 @@
        missing_and_old_revisions_are_distinguished,
        last_watcher_watches_again_first, old_copies_are_confirmed_in_time,
        stale_answers_are_not_forwarded, malformed_datagrams_are_rejected,
-       large_messages_are_fragmented, malformed_fragments_are_rejected)
+       large_messages_are_fragmented, age_counts_from_the_first_fragment,
+       malformed_fragments_are_rejected)
--- a/tests/test_gossipsend.c
+++ b/tests/test_gossipsend.c
@@ -12,6 +12,10 @@
 #define SMALL_BYTES 200
 #define LARGE_BYTES 40000
 #define FROM 100
+#define AGE_US 120000
+#define NOW_US INT64_C(1000000)
+#define WAIT_US 800000
+#define ROUNDED_US 2000 /* ages are sent in ms, and rounded up */
 #define LINK_MBPS 10.0
 #define BYTES_PER_S (LINK_MBPS * 125000)
 
@@ -153,7 +157,7 @@
 } Sent;
 
 static void
-on_send(void *ctx, const void *to, GBytes *datagram)
+on_send(void *ctx, const void *to, const char *data, size_t n)
 {
     Sent *s = ctx;
     const int *receiver = to;
@@ -161,7 +165,8 @@
     ck_assert_int_ge(*receiver, s->last_to);
     s->last_to = *receiver;
     s->n++;
-    s->bytes += g_bytes_get_size(datagram);
+    s->bytes += n;
+    (void)data;
 }
 
 static GBytes *
@@ -182,7 +187,7 @@
 
     for (int to = 0; to < 12; to++) {
         for (int i = 0; i < 40; i++) {
-            ck_assert(pacer_add(p, &to, sizeof(to), datagram));
+            ck_assert(pacer_add(p, &to, sizeof(to), datagram, now_us));
         }
     }
     while (pacer_step(p, now_us)) {
@@ -214,7 +219,7 @@
     int to = 1;
     int n = 0;
 
-    while (n < 100000 && pacer_add(p, &to, sizeof(to), datagram)) {
+    while (n < 100000 && pacer_add(p, &to, sizeof(to), datagram, 0)) {
         n++;
     }
     ck_assert_int_lt(n, 20000);
@@ -223,8 +228,79 @@
 }
 END_TEST
 
+typedef struct Receiver {
+    GossipFrag *fragments;
+    int64_t now_us;
+    int64_t whole_us; /* all changes before it are known, by fragments */
+    int64_t last_us;  /* the same by the last datagram */
+} Receiver;
+
+static void
+on_receive(void *ctx, const void *to, const char *data, size_t n)
+{
+    Receiver *r = ctx;
+    Gossip w;
+    (void)to;
+
+    if (!gossipfrag_is(data, n)) {
+        ck_assert(gossip_decode(&w, data, n, NULL));
+        r->last_us = r->now_us - w.age_us;
+        kv_page_clear(&w.page);
+    }
+    else if (gossipfrag_add(r->fragments, data, n, r->now_us, &w) ==
+             GOSSIPFRAG_COMPLETE) {
+        r->whole_us = r->now_us - w.age_us;
+        kv_page_clear(&w.page);
+    }
+}
+
+/* Sends the datagrams at the rate of the link, beginning WAIT_US after they
+ * were added. */
+static void
+send_late(GossipDatagrams *d, Receiver *r)
+{
+    Pacer *p = pacer_new(LINK_MBPS, on_receive, r);
+    int to = 1;
+
+    r->fragments = gossipfrag_new();
+    for (guint i = 0; i < d->paced->len; i++) {
+        ck_assert(pacer_add(p, &to, sizeof(to), g_ptr_array_index(d->paced, i),
+                            NOW_US));
+    }
+    r->now_us = NOW_US + WAIT_US;
+    while (pacer_step(p, r->now_us)) {
+        r->now_us += GOSSIPSEND_STEP_US;
+    }
+    pacer_free(p);
+    gossipfrag_free(r->fragments);
+}
+
+/* Guards against receivers that take their copy for newer than it is, as the
+ * message has waited for a slow link. */
+START_TEST(age_includes_the_time_before_sending)
+{
+    Changes f = {.n = 0};
+    Receiver r = {0};
+
+    add(&f, LARGE_BYTES);
+    GossipOut o = {0, FROM, FROM + 1, f.list, f.n, AGE_US};
+    GossipDatagrams d = gossipsend_datagrams(&o, 1);
+    for (int i = 0; i < 2; i++) { /* datagrams are shared by receivers */
+        send_late(&d, &r);
+        ck_assert_int_gt(r.now_us, NOW_US + WAIT_US);
+        ck_assert_int_le(r.last_us, NOW_US - AGE_US);
+        ck_assert_int_ge(r.last_us, NOW_US - AGE_US - ROUNDED_US);
+        ck_assert_int_le(r.whole_us, NOW_US - AGE_US);
+        ck_assert_int_ge(r.whole_us, NOW_US - AGE_US - ROUNDED_US);
+    }
+    gossipsend_clear(&d);
+    clear(&f);
+}
+END_TEST
+
 T_MAIN("gossipsend", small_items_are_sent_before_the_fragments_of_large_ones,
        the_last_datagram_shows_what_is_missing,
        few_datagrams_precede_the_fragments,
        a_message_that_fits_is_one_urgent_datagram,
-       fragments_leave_half_of_the_link_free, datagrams_that_wait_are_limited)
+       fragments_leave_half_of_the_link_free, datagrams_that_wait_are_limited,
+       age_includes_the_time_before_sending)
