Count gossip behind unread datagrams from the turn that found them

Cause: one turn of the loop reads 64 datagrams. Those behind them are read in the next turn and counted from evl_since() of that turn, which is after their arrival if the process was late before the first turn.

The peer keeps the time of the turn that found the socket readable until the socket is empty, and adds the difference to the age of the message.

Evidence: age_includes_the_time_behind_other_datagrams (80 datagrams, a message and a stall of 100 ms) failed on the code before: the copy counted as 100.1 ms newer than the sending. It passes now.

--- a/src/gossip.h
+++ b/src/gossip.h
@@ -29,8 +29,8 @@
     int feed; /* index of the watched prefix, see MirrorOpts.prefixes */
     uint64_t from;
     int64_t age_us; /* all changes older than this were known to the sender;
-                       counts from the arrival of the datagram, of the last one
-                       for fragments */
+                       counts from evl_since() at the arrival of the last
+                       datagram */
     KvPage page;    /* cleared with kv_page_clear() */
 } Gossip;
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -20,6 +20,8 @@
     EvlFd ev;
     PeerFns fns;
     void *ctx;
+    bool unread;      /* the last turn left datagrams in the socket */
+    int64_t since_us; /* those read now arrived after it, see evl_since() */
     GossipFrag *fragments;
     Pacer *pacer;
     EvlTimer pace; /* while the pacer is not empty */
@@ -176,6 +178,7 @@
 static void
 deliver_gossip(Peer *p, Gossip *w)
 {
+    w->age_us += evl_since(p->loop) - p->since_us;
     p->fns.gossip(p->ctx, w, evl_now(p->loop));
     kv_page_clear(&w->page);
 }
@@ -188,7 +191,7 @@
 
     if (gossipfrag_is(buf, n)) {
         GossipFragResult use =
-            gossipfrag_add(p->fragments, buf, n, evl_since(p->loop), &w);
+            gossipfrag_add(p->fragments, buf, n, p->since_us, &w);
         if (use == GOSSIPFRAG_COMPLETE) {
             deliver_gossip(p, &w);
         }
@@ -223,9 +226,14 @@
     char buf[MAX(DGRAM_BYTES_MAX, GOSSIP_BYTES_MAX)];
     (void)events;
 
+    if (!p->unread) {
+        p->since_us = evl_since(p->loop);
+    }
+    p->unread = true;
     for (int i = 0; i < DATAGRAMS_PER_TURN; i++) {
         ssize_t n = recv(p->ev.fd, buf, sizeof(buf), MSG_DONTWAIT);
         if (n < 0) {
+            p->unread = false;
             return;
         }
         if (!handle_datagram(p, buf, (size_t)n)) {
--- a/tests/test_gossip_age.c
+++ b/tests/test_gossip_age.c
@@ -13,6 +13,8 @@
 #define LARGE_BYTES 4000
 #define RUN_US 10000000
 #define REV 7
+#define BACKLOG 80 /* more datagrams than are read in one turn */
+#define STALL_US 100000
 
 typedef struct World {
     Evl *loop;
@@ -117,4 +119,38 @@
 }
 END_TEST
 
-T_MAIN("gossip_age", age_of_a_large_message_includes_the_time_of_its_transfer)
+/* Guards against gossip that counts as new although it has waited in the
+ * socket, behind more datagrams than one turn reads. */
+START_TEST(age_includes_the_time_behind_other_datagrams)
+{
+    World w;
+    char buf[GOSSIP_BYTES_MAX];
+    GossipOut o = {.from = REV, .to = REV};
+    size_t n = gossip_encode(&o, buf, sizeof(buf));
+
+    world_init(&w);
+    evl_run_once(w.loop, 0);
+    for (int i = 0; i < BACKLOG; i++) {
+        peer_send(w.sender, &w.to, "x", 1);
+    }
+    peer_send(w.sender, &w.to, buf, n);
+    int64_t sent_us = evl_boottime();
+    g_usleep(STALL_US);
+    while (w.n == 0 && w.end.heap_index != 0) {
+        evl_run_once(w.loop, 0);
+    }
+    ck_assert_int_eq(w.n, 1);
+    ck_assert_int_eq(peer_unreadable(w.receiver), BACKLOG);
+    ck_assert_int_le(w.known_us, sent_us);
+    /* Later messages do not count as old. */
+    peer_send(w.sender, &w.to, buf, n);
+    while (w.n == 1 && w.end.heap_index != 0) {
+        evl_run_once(w.loop, 0);
+    }
+    ck_assert_int_gt(w.known_us, sent_us);
+    world_free(&w);
+}
+END_TEST
+
+T_MAIN("gossip_age", age_of_a_large_message_includes_the_time_of_its_transfer,
+       age_includes_the_time_behind_other_datagrams)
