Count the time before sending from before the compression

Cause: the pacer counted from when a datagram was added, but the age of the message was computed before it was compressed and split.

Callers of peer_send_paced() now pass the time at which the age was true.

--- a/src/gossipsend.c
+++ b/src/gossipsend.c
@@ -155,7 +155,7 @@
 
 bool
 pacer_add(Pacer *p, const void *to, size_t to_size, GBytes *datagram,
-          int64_t now_us)
+          int64_t since_us)
 {
     size_t n = g_bytes_get_size(datagram);
 
@@ -163,7 +163,7 @@
         return false;
     }
     Waiting *w = g_new(Waiting, 1);
-    *w = (Waiting){g_memdup2(to, to_size), g_bytes_ref(datagram), now_us};
+    *w = (Waiting){g_memdup2(to, to_size), g_bytes_ref(datagram), since_us};
     g_queue_push_tail(&p->waiting, w);
     p->waiting_bytes += n;
     return true;
--- a/src/gossipsend.h
+++ b/src/gossipsend.h
@@ -45,10 +45,11 @@
 Pacer *pacer_new(double link_mbps, PacerFn send, void *ctx);
 void pacer_free(Pacer *p);
 
-/* Appends a datagram.  to_size: bytes at "to", which are copied.  Returns
- * false if it is dropped, as too many bytes wait. */
+/* Appends a datagram.  to_size: bytes at "to", which are copied.  since_us:
+ * time at which the age in the datagram was true.  Returns false if it is
+ * dropped, as too many bytes wait. */
 bool pacer_add(Pacer *p, const void *to, size_t to_size, GBytes *datagram,
-               int64_t now_us);
+               int64_t since_us);
 
 /* Sends what the rate allows; to be called every GOSSIPSEND_STEP_US.  Returns
  * true while datagrams wait. */
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -228,7 +228,7 @@
 
 static void
 send_datagrams(Heartbeats *b, const Vm *v, const GossipDatagrams *d,
-               bool pace_all)
+               bool pace_all, int64_t since_us)
 {
     for (guint i = 0; i < d->urgent->len + d->paced->len; i++) {
         bool paced = pace_all || i >= d->urgent->len;
@@ -237,7 +237,7 @@
                 ? g_ptr_array_index(d->urgent, i)
                 : g_ptr_array_index(d->paced, i - d->urgent->len);
         if (paced) {
-            peer_send_paced(b->o.peer, &v->peer, datagram);
+            peer_send_paced(b->o.peer, &v->peer, datagram, since_us);
         }
         else {
             gsize n;
@@ -251,6 +251,7 @@
 void
 heartbeat_send_gossip(Heartbeats *b, const GossipOut *o)
 {
+    int64_t since_us = evl_boottime(); /* compression takes time, too */
     uint64_t id = hash_mix(b->o.boot_ms ^ o->to, ++b->messages);
     GossipDatagrams d =
         gossipsend_datagrams(o, hash_mix(id, hash_str(str_of(b->o.vm_id), 0)));
@@ -264,7 +265,7 @@
         bool near =
             whole_region ? v->region == b->o.region : v->zone == b->o.zone;
         if (near && !is_self(b, v)) {
-            send_datagrams(b, v, &d, pace_all);
+            send_datagrams(b, v, &d, pace_all, since_us);
         }
     }
     gossipsend_clear(&d);
--- a/src/peer.c
+++ b/src/peer.c
@@ -308,9 +308,10 @@
 }
 
 void
-peer_send_paced(Peer *p, const struct sockaddr_in *to, GBytes *datagram)
+peer_send_paced(Peer *p, const struct sockaddr_in *to, GBytes *datagram,
+                int64_t since_us)
 {
-    if (!pacer_add(p->pacer, to, sizeof(*to), datagram, evl_boottime())) {
+    if (!pacer_add(p->pacer, to, sizeof(*to), datagram, since_us)) {
         p->unsent++;
     }
     else if (p->pace.heap_index == 0) {
--- a/src/peer.h
+++ b/src/peer.h
@@ -77,8 +77,9 @@
 void peer_send(Peer *p, const struct sockaddr_in *to, const char *data,
                size_t n);
 /* Sends datagrams of large messages, in order, at a part of the link's rate.
- */
-void peer_send_paced(Peer *p, const struct sockaddr_in *to, GBytes *datagram);
+ * since_us: boot time at which the age in the datagram was true. */
+void peer_send_paced(Peer *p, const struct sockaddr_in *to, GBytes *datagram,
+                     int64_t since_us);
 /* True while such datagrams wait. */
 bool peer_is_pacing(const Peer *p);
 
--- a/tests/test_gossip_age.c
+++ b/tests/test_gossip_age.c
@@ -104,7 +104,8 @@
     int64_t answered_us = evl_boottime();
     GossipDatagrams d = gossipsend_datagrams(&o, 1);
     for (guint i = 0; i < d.paced->len; i++) {
-        peer_send_paced(w.sender, &w.to, g_ptr_array_index(d.paced, i));
+        peer_send_paced(w.sender, &w.to, g_ptr_array_index(d.paced, i),
+                        answered_us);
     }
     while (w.n < 2 && w.end.heap_index != 0) {
         evl_run_once(w.loop, evl_wait_ms(w.loop));
