Drop events that a later one of the same key replaces

Cause: all events of an answer were applied, and forwarded by gossip, although only the newest value of a key counts.

kvpage_read() now drops the values that a later event of the same key replaces, and removals before a later removal. A removal before a value stays: an upstream, or a drained zone, that vanished and came back must be seen to have done so. KvPage.n_sent counts the items as the store sent them; on_watch() in mirror.c judges by it whether an answer was full.

Why receivers of gossip agree: an event that is dropped has a later one of its key, below the same "to", that is kept. A receiver between the two knows the first and gets the second.

--- a/src/kvpage.h
+++ b/src/kvpage.h
@@ -17,8 +17,9 @@
 
 typedef enum KvPageKind { KVPAGE_LIST, KVPAGE_EVENTS } KvPageKind;
 
-/* Reads a page into *out, without the items that cannot be read.  Returns
- * false, with an empty *out, if the page cannot be read. */
+/* Reads a page into *out, without the items that cannot be read, and without
+ * events that a later one of the same key replaces.  Returns false, with an
+ * empty *out, if the page cannot be read. */
 bool kvpage_read(KvPages *k, KvPageKind kind, Str body, KvPage *out);
 
 #endif
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -355,7 +355,7 @@
         return;
     }
     mirror_feed_apply(f, &p, now_us);
-    guint n = p.items->len;
+    guint n = (guint)p.n_sent;
     kv_page_clear(&p);
     if (f->confirming && n >= CONFIRM_EVENTS) {
         feed_watch(f);
--- a/tests/test_mirror_pages.c
+++ b/tests/test_mirror_pages.c
@@ -1,6 +1,8 @@
 /* Tests of mirror: sizes of the answers of the store. */
 #include "mirror_world.h"
 
+#define FULL_REV 55 /* of the 50th event after revision 5 */
+
 /* Guards against an endless answer of the store that exhausts memory: an
  * answer over the limit is dropped and the call is repeated. */
 START_TEST(endless_answer_is_dropped)
@@ -146,8 +148,36 @@
 }
 END_TEST
 
+/* Guards against a VM that becomes ready before it knows all changes, as it
+ * takes a full answer, with many values of one key, for the last. */
+START_TEST(full_answer_of_one_key_is_not_the_last)
+{
+    Store s;
+    GString *body = g_string_new("{\"events\":[");
+
+    for (int rev = 6; rev <= FULL_REV; rev++) {
+        g_string_append_printf(body,
+                               "%s{\"Key\":\"servers/a\",\"Rev\":%d,"
+                               "\"Value\":\"eA==\"}",
+                               rev == 6 ? "" : ",", rev);
+    }
+    g_string_append_printf(body, "],\"CurrentRev\":%d}", FULL_REV);
+    const Answer script[] = {
+        {"Serializable=1", 200, LIST(ITEM("servers/a", "3"), "5")},
+        {"after=5&WaitMs=1", 200, body->str},
+        {"after=55&WaitMs=1", 200, EVENTS(REMOVED("servers/a", "56"), "56")},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, SHORT_US);
+    ck_assert_str_eq(s.at_ready, "");
+    g_string_free(body, TRUE);
+}
+END_TEST
+
 T_MAIN("mirror_pages", endless_answer_is_dropped,
        watch_over_the_limit_is_replaced_by_pages,
        first_watch_over_the_limit_is_replaced_by_pages, largest_page_is_read,
        unreadable_items_do_not_end_a_list,
-       page_without_readable_items_is_read_again)
+       page_without_readable_items_is_read_again,
+       full_answer_of_one_key_is_not_the_last)
