Limit the progress of an answer of the own store as well

What callers saw: nothing reported. On a link that carries less than 1 MB/s a control process could not read a configuration of the greatest size. Cause: storehttp_call() gave the whole answer 1 s and dropped what had arrived, as kv_call() did. Evidence: on the code before, a body of 20 pieces 20 ms apart under a limit of 100 ms ended with status 0 (an_answer_that_arrives_steadily_is_delivered of test_storehttp). Change: timeout_ms holds until the head of the answer, and then for progress, by xferlimit.

--- a/src/ctl_cmd.h
+++ b/src/ctl_cmd.h
@@ -27,7 +27,8 @@
     const char *rank;
     const char *plot;   /* file for a gnuplot script; NULL: none */
     int64_t wait_ms;    /* until a version is in force; 0: do not wait */
-    int64_t timeout_ms; /* for all store calls of a command together */
+    int64_t timeout_ms; /* for all store calls of a command together; an
+                           answer that arrives by then is read to its end */
     int64_t base; /* version that must be stored before a change; -1: any */
     const char *args[CTL_ARGS_MAX];
     int n_args;
--- a/src/storehttp.c
+++ b/src/storehttp.c
@@ -5,6 +5,7 @@
 #include "limits.h"
 #include "loopsrc.h"
 #include "str.h"
+#include "xferlimit.h"
 
 #define CONNECTIONS_MAX 4
 #define STATUS_FAILED_MIN 500 /* lowest status of a failed call */
@@ -22,6 +23,7 @@
     StoreHttp *s;
     Call *call;
     GSource *timer;
+    XferLimit limit;
     GByteArray *body;
     StoreAnswer answer;
     Err error; /* found in the head of the answer */
@@ -114,12 +116,23 @@
     return true;
 }
 
+/* Extends the time limit, unless storehttp_cut() has ended it. */
+static void
+extend_limit(StoreCall *c, size_t bytes)
+{
+    xferlimit_received(&c->limit, bytes, g_get_monotonic_time());
+    if (g_source_get_ready_time(c->timer) != 0) {
+        g_source_set_ready_time(c->timer, c->limit.end_us);
+    }
+}
+
 static void
 on_head(void *ctx, int status, SoupMessageHeaders *h)
 {
     StoreCall *c = ctx;
     const char *v = soup_message_headers_get_one(h, "Store-Version");
 
+    extend_limit(c, 1);
     c->answer.status = status;
     if (v != NULL && !str_u64(str_of(v), UINT64_MAX, &c->answer.version)) {
         err_set(&c->error, ERR_PROTOCOL,
@@ -140,6 +153,7 @@
     gsize n;
     const guint8 *p = g_bytes_get_data(data, &n);
 
+    extend_limit(c, n);
     g_byte_array_append(c->body, p, (guint)n);
     g_bytes_unref(data);
     if (c->body->len <= STORE_VALUE_BYTES_MAX) {
@@ -211,6 +225,7 @@
     c->ctx = ctx;
     c->link.data = c;
     g_queue_push_tail_link(&s->calls, &c->link);
+    xferlimit_start(&c->limit, (int64_t)timeout_ms * 1000, now);
     c->timer = src_timeout(timeout_ms, on_timeout, c);
     o.ctx = c;
     c->call = call_start(s->pool, &o);
--- a/src/storehttp.h
+++ b/src/storehttp.h
@@ -41,9 +41,10 @@
 void storehttp_cut(StoreHttp *s, bool cut);
 
 /*
- * Starts a call; path begins with "/", body may be NULL.  Returns false, and
- * does not call done, if the budget or the backoff does not allow a call now,
- * or during an injected fault.
+ * Starts a call; path begins with "/", body may be NULL.  timeout_ms: until
+ * the head of the answer is complete, and then without progress; see
+ * xferlimit.h.  Returns false, and does not call done, if the budget or the
+ * backoff does not allow a call now, or during an injected fault.
  */
 bool storehttp_call(StoreHttp *s, const char *method, const char *path,
                     GBytes *body, unsigned timeout_ms, StoreDone done,
