Forward a full answer of a watch with the age of the copy

Cause: an answer of BEHIND_EVENTS or more may be followed by further events, so mirror.c does not count the copy as current after it. The gossip of the same answer, however, carried the age of the watch, as if no change before the watch were missing. Receivers then confirmed their copy up to the start of that watch, deferred their own watch, and px did not let requests wait for a newer copy.

Why it works: mirror_feed_answered_us() returns the time up to which the copy was confirmed before the answer, which remains true with the answer's events.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -14,10 +14,6 @@
  * more events may follow. */
 #define CONFIRM_WAIT_MS 1
 #define CONFIRM_EVENTS 50
-/* A watch returns a few hundred events at a time.  A VM that was cut off for
- * seconds has thousands to catch up with, so after an answer of this size it
- * watches again without a pause. */
-#define BEHIND_EVENTS 400
 /* The answer of a watch holds each version of a value.  One that is larger
  * than both limits holds values that are already replaced, and a list brings
  * the newest ones with fewer bytes. */
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -64,6 +64,10 @@
 {
     int64_t waited_us = f->watch_start_us + f->watch_wait_us;
 
+    if (n >= BEHIND_EVENTS) {
+        /* Changes from before the watch may follow in the next answer. */
+        return f->partial_us;
+    }
     /* Without an event the store has waited for the whole time, unless the
      * wait was cut short. */
     return n == 0 && evl_boottime() >= waited_us ? waited_us
@@ -90,7 +94,7 @@
                        .items = (const KvItem *const *)forward->pdata,
                        .n = (int)forward->len,
                        .age_us = evl_boottime() -
-                                 mirror_feed_answered_us(f, p->items->len)};
+                                 mirror_feed_answered_us(f, (guint)p->n_sent)};
         m->o.fns.announce(m->o.ctx, &o);
         log_forwarded(f, p, &o);
     }
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -11,6 +11,11 @@
 #include "registration.h"
 #include "resync.h"
 
+/* A watch returns a few hundred events at a time.  A VM that was cut off for
+ * seconds has thousands to catch up with, so after an answer of this size it
+ * watches again without a pause. */
+#define BEHIND_EVENTS 400
+
 /* The copy of the keys with one prefix, and the calls that keep it current. */
 typedef struct Feed {
     struct Mirror *m;
@@ -72,8 +77,8 @@
  * newer by a watch. */
 int64_t mirror_feed_watched_age_us(const Feed *f);
 
-/* Returns a time before which no change is missing from the answer of a watch
- * with n events, which has just arrived. */
+/* Returns a time before which no change is missing from the copy and the
+ * answer of a watch with n events, which has just arrived. */
 int64_t mirror_feed_answered_us(const Feed *f, guint n);
 
 /* Arms the timer of the next watch.  by_gossip: the last changes were received
--- a/tests/test_mirror_pages.c
+++ b/tests/test_mirror_pages.c
@@ -2,6 +2,9 @@
 #include "mirror_world.h"
 
 #define FULL_REV 55 /* of the 50th event after revision 5 */
+#define FULL_EVENTS 400
+#define FIRST_REV 10
+#define MIN_PAUSE_US (PROPAGATION_US / 10) /* less than between watches */
 
 /* Guards against an endless answer of the store that exhausts memory: an
  * answer over the limit is dropped and the call is repeated. */
@@ -175,9 +178,39 @@
 }
 END_TEST
 
+/* Guards against VMs that take their copy for recent, and defer their watch,
+ * because of gossip from a full answer that further events follow. */
+START_TEST(gossip_of_a_full_answer_is_as_old_as_the_copy)
+{
+    Store s;
+    GString *events = g_string_new("{\"events\":[");
+
+    for (int i = 0; i < FULL_EVENTS; i++) {
+        g_string_append_printf(
+            events,
+            "%s{\"Key\":\"servers/x%d\",\"Value\":\"eA==\",\"Rev\":%d}",
+            i == 0 ? "" : ",", i, FIRST_REV + i);
+    }
+    g_string_append_printf(events, "],\"CurrentRev\":%d}",
+                           FIRST_REV + FULL_EVENTS - 1);
+    const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, events->str},
+        {"after=409&", 429, "{}"},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, PROPAGATION_US / 2);
+    ck_assert_str_ne(s.announced, "");
+    ck_assert_int_gt(s.announced_age_us, MIN_PAUSE_US);
+    g_string_free(events, TRUE);
+}
+END_TEST
+
 T_MAIN("mirror_pages", endless_answer_is_dropped,
        watch_over_the_limit_is_replaced_by_pages,
        first_watch_over_the_limit_is_replaced_by_pages, largest_page_is_read,
        unreadable_items_do_not_end_a_list,
        page_without_readable_items_is_read_again,
-       full_answer_of_one_key_is_not_the_last)
+       full_answer_of_one_key_is_not_the_last,
+       gossip_of_a_full_answer_is_as_old_as_the_copy)
