Stop refusing requests when the operator's keys are current

A VM that missed changes refused requests until a resync had found those of upstreams as well, which takes 1.5 s where the store's copies lag; when the store drops its history that holds for all VMs at once. Routes and drained zones are current with the list of the operator's keys, which ends the refusals now. Requests wait for the rest as before, 1 s at most.

--- a/src/edge.c
+++ b/src/edge.c
@@ -210,6 +210,13 @@
     px_wait_for_view(g->px, 0);
 }
 
+static void
+on_urgent_current(void *ctx, int64_t now_us)
+{
+    (void)now_us;
+    px_set_routes_behind(((Edge *)ctx)->px, false);
+}
+
 /* Requests must not use upstreams or routes that were withdrawn while this VM
  * was cut off, so they are queued until the changes are known, and refused if
  * that takes longer. */
@@ -465,6 +472,7 @@
                 .ready = on_view_complete,
                 .current = on_view_current,
                 .behind = on_view_behind,
+                .urgent = on_urgent_current,
                 .failed = on_store_failure,
                 .confirmed = on_confirmed,
                 .announce = on_announce},
