Confirm no time after an answer that waited in the socket

What callers saw: nothing that is traced to this; a VM that got no processor time could take its copy for up to a wait (0.3 of the propagation time) newer than it was, and not let requests wait for a newer one.

Cause: an answer without events confirmed the end of the wait if that had passed when the answer was read. The store may cut a wait short (PROTOCOL.md), and the answer may then be in the socket of a process that does not run until after the end of the wait.

Why it works: the time confirmed is at most evl_since(), before which the answer was not in the socket. An idle loop would set evl_since() far back, so a timer makes it look at its sockets at the end of the wait; a_whole_wait_confirms_its_end holds that the wait still counts. That the timer is what keeps it so is not tested, as the store of the test runs in the same loop. An answer that the network itself delays past the end of a wait that was cut short is still too new by its way.

The effect on the number of calls to the store was not measured.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -20,6 +20,9 @@
 #define WATCH_BYTES_MIN 524288
 #define WATCH_VALUES_MAX 2.5 /* in sizes of the largest value seen */
 
+/* Longer than an event loop rounds its timers up. */
+#define WAIT_END_EARLY_US 2000
+
 static void feed_list(Feed *f);
 static void feed_list_urgent(Feed *f);
 static void feed_watch(Feed *f);
@@ -386,11 +389,21 @@
 
     f->watch_start_us = evl_boottime();
     f->watch_wait_us = wait_ms * INT64_C(1000);
+    evl_arm(f->m->o.loop, &f->wait_end,
+            f->watch_start_us + f->watch_wait_us - WAIT_END_EARLY_US);
     feed_call(f,
               f->m->o.codec->watch(f->prefix, kvcache_rev(f->cache), wait_ms),
               limit_us, watch_bytes_max(f), on_watch);
 }
 
+/* The loop has delivered what was in the sockets; see Feed.wait_end. */
+static void
+on_wait_end(void *ctx, int64_t now_us)
+{
+    (void)ctx;
+    (void)now_us;
+}
+
 static void
 on_timer(void *ctx, int64_t now_us)
 {
@@ -470,6 +483,7 @@
                          .ctx = f};
         f->resync = resync_new(&go);
         f->timer = (EvlTimer){.fn = on_timer, .ctx = f};
+        f->wait_end = (EvlTimer){.fn = on_wait_end, .ctx = f};
         feed_list(f);
     }
     return m;
@@ -482,6 +496,7 @@
         Feed *f = &m->feeds[i];
         resync_free(f->resync);
         evl_disarm(m->o.loop, &f->timer);
+        evl_disarm(m->o.loop, &f->wait_end);
         kv_free(f->conn);
         kvcache_free(f->cache);
         g_free(f->after);
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -68,10 +68,12 @@
         /* Changes from before the watch may follow in the next answer. */
         return f->partial_us;
     }
+    if (n > 0 || evl_boottime() < waited_us) {
+        return f->watch_start_us;
+    }
     /* Without an event the store has waited for the whole time, unless the
-     * wait was cut short. */
-    return n == 0 && evl_boottime() >= waited_us ? waited_us
-                                                 : f->watch_start_us;
+     * wait was cut short, and the answer was in the socket since then. */
+    return CLAMP(evl_since(f->m->o.loop), f->watch_start_us, waited_us);
 }
 
 void
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -54,8 +54,15 @@
     GHashTable *keys; /* keys that the mirror holds */
     char at_ready[256];
     char at_end[256];
-    int n_behind; /* calls of MirrorFns.behind */
-    int n_urgent; /* calls of MirrorFns.urgent */
+    int delay_at_call; /* this call, which may wait, is answered after the
+                          wait; 0: none */
+    EvlTimer delay;
+    StubConn *delayed;
+    const Answer *late;
+    int stop_at_call; /* after the answer to this call the process gets no */
+    int64_t stop_us;  /* processor time for stop_us; 0: never */
+    int n_behind;     /* calls of MirrorFns.behind */
+    int n_urgent;     /* calls of MirrorFns.urgent */
     /* "N:KEYS|" for each call of MirrorFns.current: the calls made by then and
      * the keys held. */
     char currents[1024];
@@ -96,6 +103,15 @@
 
 static void on_news_timer(void *ctx, int64_t now_us);
 
+static void
+on_delay_end(void *ctx, int64_t now_us)
+{
+    Store *s = ctx;
+    (void)now_us;
+
+    stub_respond(s->delayed, s->late->status, s->late->body);
+}
+
 static void
 on_request(void *ctx, StubConn *c)
 {
@@ -117,10 +133,20 @@
         s->gossip = (EvlTimer){.fn = on_news_timer, .ctx = s};
         evl_arm(s->loop, &s->gossip, evl_now(s->loop) + NEWS_US);
     }
-    if (a != NULL) { /* other calls stay open, e.g. watches */
+    if (a != NULL && s->n_calls == s->delay_at_call) {
+        s->delayed = c;
+        s->late = a;
+        s->delay = (EvlTimer){.fn = on_delay_end, .ctx = s};
+        evl_arm(s->loop, &s->delay,
+                evl_now(s->loop) + PROPAGATION_US * 3 / 10);
+    }
+    else if (a != NULL) { /* other calls stay open, e.g. watches */
         stub_respond_part(c, a->status, a->body,
                           a == s->cut ? s->withheld : 0);
     }
+    if (s->n_calls == s->stop_at_call) {
+        g_usleep((gulong)s->stop_us);
+    }
 }
 
 static void
@@ -343,6 +369,18 @@
     run_store(s, script, after_us);
 }
 
+/* The same with a process that gets no processor time for stop_us after the
+ * answer to a call. */
+static inline void
+run_with_stop(Store *s, const Answer *script, int64_t after_us,
+              int stop_at_call, int64_t stop_us)
+{
+    memset(s, 0, sizeof(*s));
+    s->stop_at_call = stop_at_call;
+    s->stop_us = stop_us;
+    run_store(s, script, after_us);
+}
+
 static inline void
 run(Store *s, const Answer *script, int64_t after_us)
 {
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -293,6 +293,41 @@
 }
 END_TEST
 
+/* Guards against a copy that counts as recent because an answer without events
+ * waited in the socket: the store may have cut the wait short. */
+START_TEST(a_wait_that_was_cut_short_confirms_no_time_after_its_answer)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, EVENTS("", "9")},
+        {NULL, 0, NULL},
+    };
+
+    run_with_stop(&s, script, PROPAGATION_US / 2, 3, PROPAGATION_US / 2);
+    ck_assert_int_gt(s.confirmed_us, s.call_us[1]);
+    ck_assert_int_le(s.confirmed_us, s.call_us[2]);
+}
+END_TEST
+
+/* Guards against an answer without events that confirms the start of its watch
+ * only, although nothing else shows how recent the copy is. */
+START_TEST(a_whole_wait_confirms_its_end)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, EVENTS("", "9")},
+        {NULL, 0, NULL},
+    };
+
+    memset(&s, 0, sizeof(s));
+    s.delay_at_call = 3;
+    run_store(&s, script, PROPAGATION_US);
+    ck_assert_int_gt(s.confirmed_us, s.call_us[2] + PROPAGATION_US / 4);
+}
+END_TEST
+
 /* Guards against a copy that counts as recent as the arrival of an answer,
  * which the network or this process may have delayed. */
 START_TEST(an_answer_with_events_confirms_the_start_of_its_watch)
@@ -386,6 +421,8 @@
        a_list_that_lacks_a_key_is_not_current,
        gossip_defers_calls_while_store_refuses,
        old_gossip_defers_the_watch_by_what_is_left,
+       a_wait_that_was_cut_short_confirms_no_time_after_its_answer,
+       a_whole_wait_confirms_its_end,
        an_answer_with_events_confirms_the_start_of_its_watch,
        a_copy_that_lacks_changes_is_not_confirmed,
        news_is_applied_before_the_revisions_that_are_missing,
