--- a/tests/lib/link_lib.sh
+++ b/tests/lib/link_lib.sh
@@ -20,6 +20,7 @@
     link_pid=$!
     pids="$pids $!"
     sleep 0.1
+    kill -0 "$link_pid" || check link_started 0 1
 }
 
 # route NAME SERVICE: a route behind a comma, as config expects it.
