Test a stop beside a route that allows more time

Cause: the check for a planned stop moved from the arrival to the dispatch of a request, as a newer route may allow more time; no test held this. Change: one test in tests/test_px_routes.c. Result: it fails when only arriving requests are checked (the request is written to its upstream), and passes with; 29 of 29. platform_stop and platform_stop_settings pass.

--- a/tests/test_px_routes.c
+++ b/tests/test_px_routes.c
@@ -271,6 +271,27 @@
 }
 END_TEST
 
+/* Guards against a request that may still be in flight at the end of a planned
+ * stop, as its new route allows more time. */
+START_TEST(a_waiting_request_is_refused_if_its_new_route_outlasts_a_stop)
+{
+    WorldRoute hasty = {2, "desk", "/", false, 0, SHORT_TIMEOUT_US, NULL};
+    World w;
+
+    start(&w, false);
+    world_set_route(&w, &hasty);
+    int64_t now_us = evl_now(w.loop);
+    GateStop stop = {now_us, now_us + S};
+    px_shutdown(w.px, &stop);
+    int caller = ask_while_waiting(&w);
+    world_set_route(&w, &added);
+    end_wait(&w);
+    check_nothing_written(w.listener);
+    ck_assert_int_eq(world_status(caller), 503);
+    end(&w, caller, -1);
+}
+END_TEST
+
 /* Sends the request "a" to the first service, whose side of the connection is
  * returned, and then moves the route. */
 static int
@@ -634,6 +655,7 @@
        a_caller_may_leave_while_its_request_has_no_route,
        a_waiting_request_gets_the_timeout_of_its_new_route,
        a_waiting_request_outlasts_the_timeout_of_its_old_route,
+       a_waiting_request_is_refused_if_its_new_route_outlasts_a_stop,
        a_lost_request_is_not_run_again_by_the_newer_configuration,
        a_retry_goes_to_the_service_of_the_first_attempt,
        a_rejected_request_goes_to_the_service_of_the_first_attempt,
