--- a/tests/test_px_routes.c
+++ b/tests/test_px_routes.c
@@ -1,12 +1,7 @@
 /* Tests of px with requests whose route changes before they are sent to an
  * upstream. */
-#include "px_world.h"
+#include "px_routes.h"
 
-#define WAIT_US (600 * MS) /* for the view */
-#define DEADLINE_MS 1500
-#define SLOTS 100
-#define OUTAGE_US                                                             \
-    (450 * MS) /* of the store, after which it is not waited for */
 #define SHORT_TIMEOUT_US (200 * MS)
 #define NOT_RUN                                                               \
     "HTTP/1.1 503 Service Unavailable\r\n"                                    \
@@ -14,76 +9,6 @@
     "X-Mimosascale-Not-Run: 1\r\n"                                            \
     "Content-Length: 0\r\n\r\n"
 
-static const WorldRoute moved = {2, "annex", "/", false, 0, TIMEOUT_US, NULL};
-static const WorldRoute removed = {2, "desk",     "/other", false,
-                                   0, TIMEOUT_US, NULL};
-static const WorldRoute added = {3, "desk", "/", false, 0, TIMEOUT_US, NULL};
-
-static void
-start(World *w, bool idempotent)
-{
-    world_init(w, idempotent, SLOTS);
-    world_add_annex(w, SLOTS);
-}
-
-/* Ends the world.  fd: connections that the test accepted; -1: none. */
-static void
-end(World *w, int caller, int fd)
-{
-    close(caller);
-    if (fd >= 0) {
-        close(fd);
-    }
-    world_run(w, SETTLE_US);
-    world_clear(w);
-}
-
-/* Starts a request while the view is waited for. */
-static int
-ask_while_waiting(World *w)
-{
-    px_wait_for_view(w->px, evl_now(w->loop) + WAIT_US);
-    int caller = world_ask(w, "a", DEADLINE_MS);
-    world_run(w, SETTLE_US);
-    ck_assert_int_eq(world_status(caller), 0);
-    return caller;
-}
-
-static void
-end_wait(World *w)
-{
-    px_wait_for_view(w->px, 0);
-    world_run(w, SETTLE_US);
-}
-
-/* Accepts the connection of the request "a" and answers it. */
-static void
-check_served(World *w, int listener, int caller)
-{
-    char buf[4096];
-    int fd = accept(listener, NULL, NULL);
-
-    ck_assert_int_ge(fd, 0);
-    ck_assert_int_gt((int)recv(fd, buf, sizeof(buf), 0), 0);
-    world_answer(fd, "a", 2);
-    world_run(w, SETTLE_US);
-    ck_assert_int_eq(world_status(caller), 200);
-    close(fd);
-}
-
-/* Checks that no request is written to the upstream of the listener. */
-static void
-check_nothing_written(int listener)
-{
-    char byte;
-    int fd = accept(listener, NULL, NULL);
-
-    if (fd >= 0) {
-        ck_assert_int_le((int)recv(fd, &byte, 1, MSG_DONTWAIT), 0);
-        close(fd);
-    }
-}
-
 /* Guards against a request that is run by the service of an old configuration
  * although it waited for the newer one. */
 START_TEST(a_waiting_request_goes_to_the_service_of_the_newer_configuration)
@@ -357,18 +282,6 @@
 }
 END_TEST
 
-/* Starts a request that waits for a connection to the first service. */
-static int
-ask_without_connection(World *w)
-{
-    start(w, false);
-    int caller = world_ask(w, "a", DEADLINE_MS);
-    while (w->u->n_conns == 0) {
-        evl_run_once(w->loop, 1);
-    }
-    return caller;
-}
-
 /* Guards against a request that is written to a new connection by a route
  * that has changed since the connection was begun. */
 START_TEST(a_request_is_not_written_to_a_connection_of_the_old_service)
@@ -504,145 +417,6 @@
 }
 END_TEST
 
-/* Value of a counter. */
-static int
-counter(const World *w, const char *name)
-{
-    GString *s = g_string_new("\n");
-    char *key = g_strdup_printf("\n%s ", name);
-
-    px_metrics(w->px, s);
-    const char *at = strstr(s->str, key);
-    ck_assert_ptr_nonnull(at);
-    int n = atoi(at + strlen(key));
-    g_string_free(s, TRUE);
-    g_free(key);
-    return n;
-}
-
-/* Checks that the caller was refused and told to retry at once. */
-static void
-check_refused(int caller)
-{
-    char buf[512] = "";
-
-    ck_assert_int_gt((int)recv(caller, buf, sizeof(buf) - 1, MSG_DONTWAIT), 0);
-    ck_assert_ptr_nonnull(strstr(buf, "HTTP/1.1 503"));
-    ck_assert_ptr_nonnull(strstr(buf, "Retry-After: 0.02"));
-    ck_assert_ptr_nonnull(strstr(buf, "configuration_outdated"));
-}
-
-/* Sends a request by routes that are known to be out of date, and checks that
- * it is refused. */
-static void
-check_next_refused(World *w)
-{
-    int caller = world_ask(w, "b", DEADLINE_MS);
-
-    world_run(w, SETTLE_US);
-    check_refused(caller);
-    close(caller);
-}
-
-/* Guards against requests that are handled by routes that are known to be out
- * of date, once the wait for newer ones has ended. */
-START_TEST(requests_are_refused_while_the_routes_are_known_to_be_old)
-{
-    World w;
-
-    start(&w, false);
-    px_set_routes_behind(w.px, true);
-    int caller = ask_while_waiting(&w);
-    world_run(&w, WAIT_US);
-    check_refused(caller);
-    check_next_refused(&w);
-    check_nothing_written(w.listener);
-    ck_assert_int_eq(counter(&w, "edge_requests_outdated_total"), 2);
-    end(&w, caller, -1);
-}
-END_TEST
-
-/* Guards against requests that are refused although the routes are current. */
-START_TEST(requests_are_served_once_the_routes_are_current)
-{
-    World w;
-
-    start(&w, false);
-    px_set_routes_behind(w.px, true);
-    check_next_refused(&w);
-    int caller = ask_while_waiting(&w);
-    world_set_route(&w, &moved);
-    px_set_routes_behind(w.px, false);
-    end_wait(&w);
-    check_served(&w, w.annex, caller);
-    end(&w, caller, -1);
-}
-END_TEST
-
-/* Guards against 404 by routes that are known to be out of date. */
-START_TEST(a_request_without_a_route_is_not_answered_404_by_old_routes)
-{
-    World w;
-
-    start(&w, false);
-    world_set_route(&w, &removed);
-    px_set_routes_behind(w.px, true);
-    check_next_refused(&w);
-    int caller = ask_while_waiting(&w);
-    world_run(&w, WAIT_US);
-    check_refused(caller);
-    end(&w, caller, -1);
-}
-END_TEST
-
-/* Guards against a request that is written to a connection which was begun
- * before the routes were known to be out of date. */
-START_TEST(a_request_is_not_written_by_routes_known_to_be_old)
-{
-    World w;
-    int caller = ask_without_connection(&w);
-
-    px_set_routes_behind(w.px, true);
-    world_run(&w, SETTLE_US);
-    check_nothing_written(w.listener);
-    check_refused(caller);
-    end(&w, caller, -1);
-}
-END_TEST
-
-/* Guards against requests that are refused in an outage of the store. */
-START_TEST(old_routes_are_used_while_the_store_does_not_answer)
-{
-    World w;
-
-    start(&w, false);
-    px_set_routes_behind(w.px, true);
-    px_store_failed(w.px, evl_now(w.loop));
-    check_next_refused(&w);
-    world_run(&w, OUTAGE_US);
-    int caller = world_ask(&w, "a", DEADLINE_MS);
-    world_run(&w, SETTLE_US);
-    check_served(&w, w.listener, caller);
-    end(&w, caller, -1);
-}
-END_TEST
-
-/* Guards against old routes that are used after an outage of the store, when
- * its first answer has shown that changes were missed. */
-START_TEST(an_outage_that_has_ended_does_not_allow_old_routes)
-{
-    World w;
-
-    start(&w, false);
-    px_store_failed(w.px, evl_now(w.loop));
-    world_run(&w, OUTAGE_US);
-    px_set_routes_behind(w.px, true);
-    check_next_refused(&w);
-    check_nothing_written(w.listener);
-    world_clear(&w);
-}
-END_TEST
-
 T_MAIN("px_routes",
        a_waiting_request_goes_to_the_service_of_the_newer_configuration,
        a_request_that_waits_for_a_recent_copy_goes_to_the_newer_service,
@@ -666,10 +440,4 @@
        a_request_that_found_no_connection_goes_to_the_newer_service,
        queued_requests_are_sent_by_the_ranks_of_the_newer_configuration,
        a_request_whose_route_changes_counts_once_in_the_demand,
-       a_request_on_an_added_route_counts_in_the_demand,
-       requests_are_refused_while_the_routes_are_known_to_be_old,
-       requests_are_served_once_the_routes_are_current,
-       a_request_without_a_route_is_not_answered_404_by_old_routes,
-       a_request_is_not_written_by_routes_known_to_be_old,
-       old_routes_are_used_while_the_store_does_not_answer,
-       an_outage_that_has_ended_does_not_allow_old_routes)
+       a_request_on_an_added_route_counts_in_the_demand)
