Read the store itself for the changes of a VM that was refused

What callers saw: a VM that the store had refused for 9 s had the newest configuration 0.9 s after it was answered again, and knew which upstreams had left 2.1 s later; within that time requests may reach them (DRAIN).

Cause: after a watch with too many changes a resync reads copies of the store first. They lag, and each try transfers whole pages.

Change: a VM whose copy is older than the propagation time and whose watch holds too many changes lists the store itself. After a dropped history, which all VMs miss, copies are read first as before.

Test: a_vm_that_was_refused_reads_the_store_itself failed before ("not called: /api/kv-range?PathPrefix=$").

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -290,7 +290,7 @@
     mirror_feed_confirm(f, f->list_start_us);
     feed_succeeded(f, now_us);
     mirror_feed_pause(f, false, now_us);
-    resync_run(f->resync, kvcache_rev(f->cache));
+    resync_run(f->resync, kvcache_rev(f->cache), !f->skip_copies);
 }
 
 /* Reads the urgent keys; the watch continues from their revision. */
@@ -313,7 +313,7 @@
 /* Lists the keys instead of watching from a revision whose events the store
  * cannot or could not send. */
 static void
-list_instead(Feed *f, int64_t now_us)
+list_instead(Feed *f, int status, int64_t now_us)
 {
     if (f->confirming || !f->listed) {
         drop_unconfirmed(f, now_us);
@@ -322,6 +322,8 @@
     }
     changes_missed(f, now_us);
     f->urgent_pending = true;
+    /* Few VMs miss so many changes; a dropped history is missed by all. */
+    f->skip_copies = f->m->behind && status == KV_TOO_LARGE;
     resync_begin(f->resync);
     feed_list_urgent(f);
 }
@@ -338,7 +340,7 @@
                    "event=%s prefix=%s rev=%" G_GUINT64_FORMAT,
                    status == 410 ? "history_gone" : "events_too_large",
                    f->prefix, kvcache_rev(f->cache));
-        list_instead(f, now_us);
+        list_instead(f, status, now_us);
         return;
     }
     if (status != 200) {
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -51,6 +51,7 @@
     size_t value_bytes; /* of the largest value so far */
     bool failing;
     bool urgent_pending; /* changes were missed; read the urgent keys first */
+    bool skip_copies;    /* the resync reads the store itself */
     Resync *resync;
     KvCache *cache;
     KvPages pages;
--- a/src/resync.c
+++ b/src/resync.c
@@ -151,9 +151,10 @@
 }
 
 void
-resync_run(Resync *g, uint64_t to)
+resync_run(Resync *g, uint64_t to, bool copies)
 {
     g->to = to;
+    g->tries = copies ? 0 : STALE_TRIES;
     read_page(g);
 }
 
--- a/src/resync.h
+++ b/src/resync.h
@@ -43,8 +43,8 @@
 void resync_begin(Resync *g);
 
 /* Lists the keys until all changes up to revision "to" are found.  Call after
- * resync_begin(). */
-void resync_run(Resync *g, uint64_t to);
+ * resync_begin().  copies: reads copies of the store first, which may lag. */
+void resync_run(Resync *g, uint64_t to, bool copies);
 
 /* True from resync_begin() until the changes are in the cache. */
 bool resync_lacks_changes(const Resync *g);
--- a/tests/test_mirror_versions.c
+++ b/tests/test_mirror_versions.c
@@ -98,6 +98,34 @@
 }
 END_TEST
 
+/* Guards against a VM that learns of upstreams that left seconds later than of
+ * its configuration, as copies of the store lag. */
+START_TEST(a_vm_that_was_refused_reads_the_store_itself)
+{
+    Store s;
+    char *body = versions(EVENTS_MAX);
+    const Answer script[] = {
+        START_A_B,
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 200, body},
+        {"PathPrefix=op/", 200, LIST(ITEM("op/config", "12"), "12")},
+        {"/api/kv-range?PathPrefix=$", 200,
+         LIST(ITEM("op/config", "12") "," ITEM("servers/b", "4"), "12")},
+        {NULL, 0, NULL},
+    };
+
+    run_cut(&s, script, REFUSED_US, &script[FIRST + REFUSED], 2 * VALUE_BYTES);
+    ck_assert_str_eq(s.at_end, "op/config servers/b ");
+    ck_assert_int_eq(s.n_behind, 1);
+    g_free(body);
+}
+END_TEST
+
 T_MAIN("mirror_versions", replaced_versions_are_not_received,
        a_new_version_is_received_by_the_watch,
-       changes_are_missed_when_an_answer_begins)
+       changes_are_missed_when_an_answer_begins,
+       a_vm_that_was_refused_reads_the_store_itself)
