Do not retry while the view is known to be out of date

Cause: a retry looked at the age of the copy only, so that a VM that waits for missed changes, or refuses requests by its routes, still sent retries by these routes to upstreams that may have left.

Change: a retry needs a usable view, as a first attempt does.

Test: a_lost_request_is_not_sent_again_while_the_view_is_waited_for failed before (the request was written to the other upstream). test_px_outdated (7), test_px_routes (23), test_px_drain, test_px_left, test_px_pause, test_px_answers and test_px_crash pass.

--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -114,7 +114,7 @@
     const Px *p = r->p;
 
     if (crash_should_refuse(p->o.crashes, r->fingerprint, now_us) ||
-        !pxreq_copy_is_usable(r->p, now_us) || r->n_tried >= PICK_TRIED_MAX ||
+        !pxreq_view_is_usable(r->p, now_us) || r->n_tried >= PICK_TRIED_MAX ||
         r->n_delivered >= r->route->max_attempts ||
         r->end_us - now_us < (int64_t)(r->demand->work_s * 5e5)) {
         return false;
--- a/tests/test_px_outdated.c
+++ b/tests/test_px_outdated.c
@@ -143,10 +143,34 @@
 }
 END_TEST
 
+/* Guards against a retry by routes and upstreams that are known to be out of
+ * date, as a VM that was cut off may know no upstream that still runs. */
+START_TEST(a_lost_request_is_not_sent_again_while_the_view_is_waited_for)
+{
+    World w;
+    char buf[4096];
+
+    start(&w, true);
+    int caller = world_ask(&w, "a", DEADLINE_MS);
+    world_run(&w, SETTLE_US);
+    int fd = world_accept(&w);
+    ck_assert_int_gt((int)recv(fd, buf, sizeof(buf), 0), 0);
+    int other = world_upstream(&w, "u-2", "desk", SLOTS);
+    px_wait_for_view(w.px, evl_now(w.loop) + WAIT_US);
+    close(fd);
+    world_run(&w, SETTLE_US);
+    check_nothing_written(other);
+    ck_assert_int_eq(world_status(caller), 502);
+    close(other);
+    end(&w, caller, -1);
+}
+END_TEST
+
 T_MAIN("px_outdated",
        requests_are_refused_while_the_routes_are_known_to_be_old,
        requests_are_served_once_the_routes_are_current,
        a_request_without_a_route_is_not_answered_404_by_old_routes,
        a_request_is_not_written_by_routes_known_to_be_old,
        old_routes_are_used_while_the_store_does_not_answer,
-       an_outage_that_has_ended_does_not_allow_old_routes)
+       an_outage_that_has_ended_does_not_allow_old_routes,
+       a_lost_request_is_not_sent_again_while_the_view_is_waited_for)
