Test that a confirmed copy holds all changes before its time

Four VMs with a loop each play seeded changes: 25 versions of a key in one answer, more changes than an answer holds, history that is gone, copies of the store that lag, pages of three items, gossip lost, late and out of order; two of the VMs are refused, cut off, not answered, answered late, paused, or their waits are cut short. At each MirrorFns.confirmed every key is compared with the history of the store. The test prints the longest time until a change is known, of op/ keys and of others.

Not covered: datagrams that take longer than GOSSIP_DELAY_US.

--- a/tests/test_mirror_copies.c
+++ b/tests/test_mirror_copies.c
@@ -162,6 +162,7 @@
         Play p = {.steps = STEPS};
 
         copies_init(&p.w, seed);
+        copies_start(&p.w);
         for (int i = 0; i < TARGETS; i++) {
             p.w.boot_ms[i] = 1700000000000;
             report(&p.w, i, "ready");
