Let a resync end while large watches follow each other

Upstreams that left would stay in use on a VM whose watches keep being too large.

Cause: each such watch began the resync anew, which cancelled its list. The watches follow each other in less time than a list takes on a slow link, and the revision of the operator's keys had been set forward, so that removals in between come by the resync only.

Change: a resync that still lacks changes goes on. Its list counts for the revision at which it began, and another follows if that has risen.

--- a/src/resync.c
+++ b/src/resync.c
@@ -14,7 +14,9 @@
     ResyncOpts o;
     bool active;
     bool lacks_changes;
+    bool running; /* from resync_run() on */
     uint64_t to;
+    uint64_t list_to; /* "to" when this list began */
     KvConn *conn;
     EvlTimer timer;
     char *after;      /* last key of the previous page */
@@ -49,6 +51,11 @@
      * left are not used any longer.  A second list restores keys that the
      * first one lacked by mistake. */
     bool dropped = kvcache_drop_missing(g->o.cache, g->oldest, 1, now_us) > 0;
+    if (g->oldest < g->to) {
+        /* More changes were missed since the list began. */
+        read_page(g);
+        return;
+    }
     if (g->lacks_changes) {
         g->lacks_changes = false;
         g->o.found(g->o.ctx, now_us);
@@ -92,7 +99,7 @@
     if (status != 200 || !kvpage_read(g->o.pages, KVPAGE_LIST, body, &p)) {
         schedule_try(g);
     }
-    else if (p.rev < g->to) {
+    else if (p.rev < g->list_to) {
         g->tries++;
         schedule_try(g);
     }
@@ -108,6 +115,9 @@
 static void
 read_page(Resync *g)
 {
+    if (g->after == NULL) {
+        g->list_to = g->to;
+    }
     g->calls++;
     kv_call(
         g->conn,
@@ -144,6 +154,9 @@
 void
 resync_begin(Resync *g)
 {
+    if (g->lacks_changes) {
+        return;
+    }
     resync_end(g);
     g->active = true;
     g->lacks_changes = true;
@@ -154,8 +167,13 @@
 resync_run(Resync *g, uint64_t to, bool copies)
 {
     g->to = to;
-    g->tries = copies ? 0 : STALE_TRIES;
-    read_page(g);
+    if (!copies) {
+        g->tries = STALE_TRIES;
+    }
+    if (!g->running) {
+        g->running = true;
+        read_page(g);
+    }
 }
 
 void
@@ -168,6 +186,7 @@
     kv_cancel(g->conn);
     g_clear_pointer(&g->after, g_free);
     g->active = false;
+    g->running = false;
     g->lacks_changes = false;
     g->second_list = false;
     g->tries = 0;
--- a/src/resync.h
+++ b/src/resync.h
@@ -38,8 +38,10 @@
 Resync *resync_new(const ResyncOpts *o);
 void resync_free(Resync *g);
 
-/* Starts a resync.  Until it ends, the cache keeps tombstones of removed keys,
- * because the lists may be older than the cached keys. */
+/* Starts a resync, or extends one that still lacks changes, whose list may
+ * take longer than the time between two such calls.  Until it ends, the cache
+ * keeps tombstones of removed keys, because the lists may be older than the
+ * cached keys. */
 void resync_begin(Resync *g);
 
 /* Lists the keys until all changes up to revision "to" are found.  Call after
