Know that the copy grows too old while an answer is received

Cause: the age of the copy was looked at when an answer began. An ordinary watch begins with a copy that is younger than the propagation time and becomes older during the transfer.

Change: a timer looks again when the copy becomes that old and the answer is still being received.

Test: changes_are_missed_when_the_copy_grows_old_during_an_answer failed before (n_behind 0, wanted 1).

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -42,6 +42,7 @@
 {
     f->m->calls++;
     f->call_start_us = evl_now(f->m->o.loop);
+    evl_disarm(f->m->o.loop, &f->too_old);
     kv_limit_answer(f->conn, bytes_max);
     kv_call(f->conn, request, limit_us, done, f);
 }
@@ -168,13 +169,30 @@
     }
 }
 
-/* The rest of the answer takes a while.  An answer of the store that does not
- * arrive at once holds changes. */
+/* An answer of the store that does not arrive at once holds changes.  The copy
+ * may grow too old while the rest of it is received. */
 static void
 on_begin(void *ctx, int status, int64_t now_us)
 {
-    if (status == 200) {
-        changes_missed(ctx, now_us);
+    Feed *f = ctx;
+    int64_t left_us = f->m->o.propagation_us - mirror_feed_age_us(f);
+
+    if (status != 200) {
+        return;
+    }
+    changes_missed(f, now_us);
+    if (left_us >= 0) {
+        evl_arm(f->m->o.loop, &f->too_old, now_us + left_us + 1);
+    }
+}
+
+static void
+on_too_old(void *ctx, int64_t now_us)
+{
+    Feed *f = ctx;
+
+    if (kv_busy(f->conn)) {
+        changes_missed(f, now_us);
     }
 }
 
@@ -486,6 +504,7 @@
         f->resync = resync_new(&go);
         f->timer = (EvlTimer){.fn = on_timer, .ctx = f};
         f->wait_end = (EvlTimer){.fn = on_wait_end, .ctx = f};
+        f->too_old = (EvlTimer){.fn = on_too_old, .ctx = f};
         feed_list(f);
     }
     return m;
@@ -499,6 +518,7 @@
         resync_free(f->resync);
         evl_disarm(m->o.loop, &f->timer);
         evl_disarm(m->o.loop, &f->wait_end);
+        evl_disarm(m->o.loop, &f->too_old);
         kv_free(f->conn);
         kvcache_free(f->cache);
         g_free(f->after);
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -42,6 +42,8 @@
     int64_t watch_wait_us;  /* for which the store waits for events */
     EvlTimer wait_end;      /* lets evl_since() be no earlier than the end of
                                the wait when its answer arrives */
+    EvlTimer too_old;       /* while an answer is received: the copy is as old
+                               as the propagation time */
     int64_t partial_us;     /* all changes before it are known but those that
                                the resync under way will find; boot time */
     int64_t confirmed_us;   /* when the copy was last known to be current; boot
--- a/tests/test_mirror_versions.c
+++ b/tests/test_mirror_versions.c
@@ -125,6 +125,29 @@
 }
 END_TEST
 
+/* Guards against requests that are handled by an old configuration while a
+ * newer one is being received: the copy grew too old during the transfer. */
+START_TEST(changes_are_missed_when_the_copy_grows_old_during_an_answer)
+{
+    Store s = {0};
+    char *body = versions(1);
+    const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, body},
+        {NULL, 0, NULL},
+    };
+
+    s.cut = &script[FIRST];
+    s.withheld = VALUE_BYTES;
+    s.drip_bytes = VALUE_BYTES / 50;
+    run_store(&s, script, 2 * PROPAGATION_US);
+    ck_assert_int_eq(s.n_calls, FIRST + 1);
+    ck_assert_int_lt(s.confirmed_us, evl_boottime() - PROPAGATION_US);
+    ck_assert_int_eq(s.n_behind, 1);
+    g_free(body);
+}
+END_TEST
+
 #define ROUND                                                                 \
     {"after=9&", 200, body},                                                  \
     {                                                                         \
@@ -170,4 +193,5 @@
        a_new_version_is_received_by_the_watch,
        changes_are_missed_when_an_answer_begins,
        a_vm_that_was_refused_reads_the_store_itself,
+       changes_are_missed_when_the_copy_grows_old_during_an_answer,
        large_watches_do_not_keep_a_resync_from_its_end)
