End the refusals when gossip or a watch makes the routes current

Cause: only an answer of the store to this VM ended the refusals. Each confirmation by gossip also ended the outage of the store that allows the old routes. A watch that brought the newest routes during a resync did not end them either.

Change: a copy that is confirmed to be younger than the propagation time is current, whoever confirms it, in the mirror and in px. A watch that completes during a resync makes the operator's keys current.

Tests: gossip_ends_the_time_in_which_changes_are_missed, a_watch_during_a_resync_makes_the_urgent_keys_current (n_urgent 1, n_behind 2) and a_copy_that_is_confirmed_meanwhile_is_used failed before. a_rejected_request_is_not_sent_on_by_routes_known_to_be_old passed before.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -143,8 +143,15 @@
             return;
         }
     }
-    m->behind = false;
-    m->o.fns.current(m->o.ctx, now_us);
+    mirror_notify_current(m, now_us);
+}
+
+static void
+notify_urgent(Mirror *m, int64_t now_us)
+{
+    if (m->o.fns.urgent != NULL) {
+        m->o.fns.urgent(m->o.ctx, now_us);
+    }
 }
 
 static void
@@ -165,6 +172,7 @@
     if (!m->behind && f->listed &&
         mirror_feed_age_us(f) > m->o.propagation_us) {
         m->behind = true;
+        m->not_current = true;
         m->o.fns.behind(m->o.ctx, now_us);
     }
 }
@@ -302,9 +310,7 @@
     kvcache_merge(f->cache, &p, now_us);
     kvcache_set_rev(f->cache, p.rev);
     kv_page_clear(&p);
-    if (f->m->o.fns.urgent != NULL) {
-        f->m->o.fns.urgent(f->m->o.ctx, now_us);
-    }
+    notify_urgent(f->m, now_us);
     mirror_feed_confirm(f, f->list_start_us);
     feed_succeeded(f, now_us);
     mirror_feed_pause(f, false, now_us);
@@ -389,6 +395,9 @@
         return;
     }
     mirror_feed_confirm(f, mirror_feed_answered_us(f, n));
+    if (resync_lacks_changes(f->resync)) {
+        notify_urgent(f->m, now_us);
+    }
     mark_current(f, now_us);
     mirror_feed_pause(f, f->missed, now_us);
     f->missed = false;
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -2,6 +2,14 @@
  * VMs. See mirror_state.h. */
 #include "mirror_state.h"
 
+void
+mirror_notify_current(Mirror *m, int64_t now_us)
+{
+    m->behind = false;
+    m->not_current = false;
+    m->o.fns.current(m->o.ctx, now_us);
+}
+
 void
 mirror_feed_confirm(Feed *f, int64_t at_us)
 {
@@ -19,6 +27,9 @@
     if (m->o.fns.confirmed != NULL) {
         m->o.fns.confirmed(m->o.ctx, at_us);
     }
+    if (m->not_current && evl_boottime() - at_us <= m->o.propagation_us) {
+        mirror_notify_current(m, evl_now(m->o.loop));
+    }
 }
 
 int64_t
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -64,13 +64,18 @@
     Feed *feeds;
     int n_feeds;
     bool ready;
-    bool behind; /* MirrorFns.behind was called, and nothing since */
+    bool behind;      /* MirrorFns.behind was called, and neither "current" nor
+                         "failed" since */
+    bool not_current; /* the same without "failed" */
     int64_t calls;
     int64_t deferred;
     int64_t missing;
     Registration *registration;
 };
 
+/* Calls MirrorFns.current. */
+void mirror_notify_current(struct Mirror *m, int64_t now_us);
+
 /* Records that all changes before at_us (boot time) are known, but those that
  * a resync under way will find. */
 void mirror_feed_confirm(Feed *f, int64_t at_us);
--- a/src/px.c
+++ b/src/px.c
@@ -305,6 +305,9 @@
 void
 px_set_confirmed(Px *p, int64_t at_us)
 {
+    if (evl_now(p->o.loop) - at_us <= p->o.copy_age_max_us) {
+        px_set_routes_behind(p, false);
+    }
     p->confirmed_us = at_us;
     p->copy_wait_us = 0;
     p->store_failed_us = 0;
--- a/src/px.h
+++ b/src/px.h
@@ -60,7 +60,8 @@
 /* Longest round-trip time to another region; 0: not known. */
 void px_set_max_rtt(Px *p, int64_t max_rtt_us);
 
-/* This VM knows all changes of the store before at_us. */
+/* This VM knows all changes of the store before at_us.  If that is recent,
+ * the routes are current too. */
 void px_set_confirmed(Px *p, int64_t at_us);
 
 /* A call to the store failed.  Requests do not wait for a newer copy while
--- a/tests/test_mirror_versions.c
+++ b/tests/test_mirror_versions.c
@@ -125,6 +125,64 @@
 }
 END_TEST
 
+/* Guards against a VM that refuses all requests, although gossip has brought
+ * the changes that it missed, until the store answers it again. */
+START_TEST(gossip_ends_the_time_in_which_changes_are_missed)
+{
+    Store s = {0};
+    char *body = versions(1);
+    const Answer script[] = {
+        START_A_B,
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 200, body},
+        {NULL, 0, NULL},
+    };
+
+    s.cut = &script[FIRST + REFUSED];
+    s.withheld = VALUE_BYTES / 2;
+    s.gossip_rev = 9;
+    s.gossip_after_calls = FIRST + REFUSED;
+    run_store(&s, script, REFUSED_US + 2000000);
+    ck_assert_int_eq(s.n_behind, 1);
+    ck_assert_int_eq(s.n_calls_at_gossip, FIRST + REFUSED + 1);
+    ck_assert_int_gt(s.confirmed_us, s.call_us[FIRST + REFUSED]);
+    ck_assert_msg(strchr(s.currents, '|') != strrchr(s.currents, '|'),
+                  "current: %s", s.currents);
+    g_free(body);
+}
+END_TEST
+
+/* Guards against a VM that refuses all requests until a resync has ended,
+ * although the watch has brought the newest routes. */
+START_TEST(a_watch_during_a_resync_makes_the_urgent_keys_current)
+{
+    Store s;
+    char *body = versions(1);
+    const Answer script[] = {
+        START_A_B,
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 410, "{}"},
+        {"PathPrefix=op/", 200, LIST("", "9")},
+        {"after=9&", 429, "{}"},
+        {"after=9&", 200, body},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, REFUSED_US + 2000000);
+    ck_assert_str_eq(s.at_end, "op/config servers/a servers/b ");
+    ck_assert_int_eq(s.n_urgent, s.n_behind);
+    g_free(body);
+}
+END_TEST
+
 /* Guards against requests that are handled by an old configuration while a
  * newer one is being received: the copy grew too old during the transfer. */
 START_TEST(changes_are_missed_when_the_copy_grows_old_during_an_answer)
@@ -193,5 +251,7 @@
        a_new_version_is_received_by_the_watch,
        changes_are_missed_when_an_answer_begins,
        a_vm_that_was_refused_reads_the_store_itself,
+       gossip_ends_the_time_in_which_changes_are_missed,
+       a_watch_during_a_resync_makes_the_urgent_keys_current,
        changes_are_missed_when_the_copy_grows_old_during_an_answer,
        large_watches_do_not_keep_a_resync_from_its_end)
--- a/tests/test_px_outdated.c
+++ b/tests/test_px_outdated.c
@@ -166,6 +166,54 @@
 }
 END_TEST
 
+/* Guards against a request, rejected by its first upstream, that is sent on by
+ * routes and upstreams that are known to be out of date. */
+START_TEST(a_rejected_request_is_not_sent_on_by_routes_known_to_be_old)
+{
+    static const char not_run[] = "HTTP/1.1 503 Service Unavailable\r\n"
+                                  "X-Mimosascale-Attempt-Id: a\r\n"
+                                  "X-Mimosascale-Not-Run: 1\r\n"
+                                  "Content-Length: 0\r\n\r\n";
+    char buf[4096];
+    World w;
+
+    start(&w, false);
+    int caller = world_ask(&w, "a", DEADLINE_MS);
+    world_run(&w, SETTLE_US);
+    int fd = world_accept(&w);
+    ck_assert_int_gt((int)recv(fd, buf, sizeof(buf), 0), 0);
+    int other = world_upstream(&w, "u-2", "desk", SLOTS);
+    px_set_routes_behind(w.px, true);
+    px_wait_for_view(w.px, evl_now(w.loop) + WAIT_US);
+    ck_assert_int_gt((int)send(fd, not_run, strlen(not_run), MSG_NOSIGNAL), 0);
+    world_run(&w, SETTLE_US);
+    check_nothing_written(other);
+    world_run(&w, WAIT_US);
+    check_nothing_written(other);
+    ck_assert_int_eq(world_status(caller), 503);
+    close(other);
+    end(&w, caller, fd);
+}
+END_TEST
+
+/* Guards against requests that are refused without end, since each message
+ * that confirms the copy ends the outage of the store. */
+START_TEST(a_copy_that_is_confirmed_meanwhile_is_used)
+{
+    World w;
+
+    start(&w, false);
+    px_set_routes_behind(w.px, true);
+    px_store_failed(w.px, evl_now(w.loop));
+    world_run(&w, OUTAGE_US);
+    px_set_confirmed(w.px, evl_now(w.loop));
+    int caller = world_ask(&w, "a", DEADLINE_MS);
+    world_run(&w, SETTLE_US);
+    check_served(&w, w.listener, caller);
+    end(&w, caller, -1);
+}
+END_TEST
+
 T_MAIN("px_outdated",
        requests_are_refused_while_the_routes_are_known_to_be_old,
        requests_are_served_once_the_routes_are_current,
@@ -173,4 +221,6 @@
        a_request_is_not_written_by_routes_known_to_be_old,
        old_routes_are_used_while_the_store_does_not_answer,
        an_outage_that_has_ended_does_not_allow_old_routes,
-       a_lost_request_is_not_sent_again_while_the_view_is_waited_for)
+       a_lost_request_is_not_sent_again_while_the_view_is_waited_for,
+       a_rejected_request_is_not_sent_on_by_routes_known_to_be_old,
+       a_copy_that_is_confirmed_meanwhile_is_used)
