Allow the time of the largest page to an answer of the store

A page of a list may hold 1 MB and one value of 1 MiB more, which takes 58 s at 60 kB/s in base64; 35.8 s were allowed in all, so that the list would begin anew without end.

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -19,8 +19,8 @@
  * the newest ones with fewer bytes. */
 #define WATCH_BYTES_MIN 524288
 #define WATCH_VALUES_MAX 2.5 /* in sizes of the largest value seen */
-
-/* Longer than an event loop rounds its timers up. */
+/* The loop looks at its sockets this long before the end of a watch's wait;
+ * longer than it rounds its timers up. */
 #define WAIT_END_EARLY_US 2000
 
 static void feed_list(Feed *f);
@@ -425,7 +425,8 @@
               limit_us, watch_bytes_max(f), on_watch);
 }
 
-/* The loop has delivered what was in the sockets; see Feed.wait_end. */
+/* Does nothing: that the timer fires makes the loop look at its sockets at
+ * that time, see Feed.wait_end. */
 static void
 on_wait_end(void *ctx, int64_t now_us)
 {
--- a/src/xferlimit.h
+++ b/src/xferlimit.h
@@ -19,9 +19,11 @@
 /* Minimum rate of an answer, in bytes per second.  Other calls may use the
  * link at the same time. */
 #define XFERLIMIT_RATE (XFERLIMIT_LINK_RATE / 4)
-/* One value of the greatest size, in base64, and a page of small items. */
+/* A page whose last value, of the greatest size, exceeds its bytes; in base64.
+ */
 #define XFERLIMIT_ANSWER_BYTES                                                \
-    (STORE_VALUE_BYTES_MAX / 3 * 4 + STORE_PAGE_ITEMS * STORE_ITEM_BYTES)
+    ((STORE_PAGE_BYTES + STORE_VALUE_BYTES_MAX) / 3 * 4 +                     \
+     STORE_PAGE_ITEMS * STORE_ITEM_BYTES)
 /* Limit of a transfer.  What it brings grows old meanwhile. */
 #define XFERLIMIT_TOTAL_US                                                    \
     (INT64_C(1000000) * XFERLIMIT_ANSWER_BYTES / XFERLIMIT_LINK_RATE)
