--- a/src/mirror.c
+++ b/src/mirror.c
@@ -50,7 +50,8 @@
 static size_t
 watch_bytes_max(const Feed *f)
 {
-    double values = WATCH_VALUES_MAX * (double)KV_BASE64_BYTES(f->value_bytes);
+    size_t value_bytes = KV_BASE64_BYTES(f->value_bytes);
+    double values = WATCH_VALUES_MAX * (double)value_bytes;
 
     return (size_t)MAX(WATCH_BYTES_MIN, values);
 }
