Let requests wait for an answer that begins, and not refuse them

Cause: an answer that begins and is not whole counted as proof that the copy lacks changes. Such an answer may also have no end; the VM then refused requests until calls had failed for 0.4 s, again with each answer.

Change: an answer that is being received lets requests wait, 1 s at most and once until the copy is current; only an answer that shows missing changes (410, too large, a full page) lets requests be refused.

--- a/src/edge.c
+++ b/src/edge.c
@@ -210,6 +210,13 @@
     px_wait_for_view(g->px, 0);
 }
 
+/* Requests wait for the answer, but are not refused, as it may have no end. */
+static void
+on_view_receiving(void *ctx, int64_t now_us)
+{
+    px_wait_for_view(((Edge *)ctx)->px, now_us + VIEW_BEHIND_WAIT_US);
+}
+
 static void
 on_urgent_current(void *ctx, int64_t now_us)
 {
@@ -472,6 +479,7 @@
                 .ready = on_view_complete,
                 .current = on_view_current,
                 .behind = on_view_behind,
+                .receiving = on_view_receiving,
                 .urgent = on_urgent_current,
                 .failed = on_store_failure,
                 .confirmed = on_confirmed,
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -178,8 +178,21 @@
     }
 }
 
-/* An answer of the store that does not arrive at once holds changes.  The copy
- * may grow too old while the rest of it is received. */
+/* An answer of the store that does not arrive at once is likely to hold
+ * changes, but may also have no end. */
+static void
+report_receiving(Feed *f, int64_t now_us)
+{
+    Mirror *m = f->m;
+
+    if (m->o.fns.receiving != NULL && !m->receiving && f->listed &&
+        mirror_feed_age_us(f) > m->o.propagation_us) {
+        m->receiving = true;
+        m->o.fns.receiving(m->o.ctx, now_us);
+    }
+}
+
+/* The copy may grow too old while the rest of the answer is received. */
 static void
 on_begin(void *ctx, int status, int64_t now_us)
 {
@@ -189,7 +202,7 @@
     if (status != 200) {
         return;
     }
-    changes_missed(f, now_us);
+    report_receiving(f, now_us);
     if (left_us >= 0) {
         evl_arm(f->m->o.loop, &f->too_old, now_us + left_us + 1);
     }
@@ -201,7 +214,7 @@
     Feed *f = ctx;
 
     if (kv_busy(f->conn)) {
-        changes_missed(f, now_us);
+        report_receiving(f, now_us);
     }
 }
 
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -36,6 +36,10 @@
      * time, lacks changes; "current" follows when they are known, or
      * "failed". */
     void (*behind)(void *ctx, int64_t now_us);
+    /* An answer of the store is being received, and the copy is older than the
+     * propagation time: it is likely to lack what the answer holds.  At most
+     * once until "current", as an answer may have no end.  May be NULL. */
+    void (*receiving)(void *ctx, int64_t now_us);
     /* The urgent keys are as recent as the store's own answers; the other
      * missed changes may follow.  May be NULL. */
     void (*urgent)(void *ctx, int64_t now_us);
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -7,6 +7,7 @@
 {
     m->behind = false;
     m->not_current = false;
+    m->receiving = false;
     m->o.fns.current(m->o.ctx, now_us);
 }
 
@@ -27,7 +28,8 @@
     if (m->o.fns.confirmed != NULL) {
         m->o.fns.confirmed(m->o.ctx, at_us);
     }
-    if (m->not_current && evl_boottime() - at_us <= m->o.propagation_us) {
+    if ((m->not_current || m->receiving) &&
+        evl_boottime() - at_us <= m->o.propagation_us) {
         mirror_notify_current(m, evl_now(m->o.loop));
     }
 }
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -67,6 +67,8 @@
     bool behind;      /* MirrorFns.behind was called, and neither "current" nor
                          "failed" since */
     bool not_current; /* the same without "failed" */
+    bool receiving;   /* MirrorFns.receiving was called, and "current" not
+                         since */
     int64_t calls;
     int64_t deferred;
     int64_t missing;
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -65,6 +65,7 @@
     int64_t stop_us;  /* processor time for stop_us; 0: never */
     int n_behind;     /* calls of MirrorFns.behind */
     int n_urgent;     /* calls of MirrorFns.urgent */
+    int n_receiving;  /* calls of MirrorFns.receiving */
     /* "N:KEYS|" for each call of MirrorFns.current: the calls made by then and
      * the keys held. */
     char currents[1024];
@@ -240,6 +241,15 @@
     s->n_behind++;
 }
 
+static void
+on_receiving(void *ctx, int64_t now_us)
+{
+    Store *s = ctx;
+    (void)now_us;
+
+    s->n_receiving++;
+}
+
 static void
 on_urgent(void *ctx, int64_t now_us)
 {
@@ -336,6 +346,7 @@
                 .ready = on_ready,
                 .current = on_current,
                 .behind = on_behind,
+                .receiving = on_receiving,
                 .urgent = on_urgent,
                 .failed = on_failed,
                 .confirmed = on_confirmed,
