Move the check of a changed route from pxtry to pxreq

Change: the function that applies a newer table to a request whose upstream is chosen stands beside pxreq_update_route(), which it calls; nothing else changes.

--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -112,6 +112,22 @@
     return true;
 }
 
+bool
+pxreq_route_still_allows(Req *r, int64_t now_us)
+{
+    const Topology *topo = r->p->o.topology;
+    uint64_t service = r->service->id;
+    uint64_t object = r->object;
+    int64_t end_us = r->end_us;
+    int64_t last_us = r->last_us;
+
+    return !pxreq_update_route(r, now_us) ||
+           (r->route != NULL && r->service->id == service &&
+            r->object == object && r->end_us == end_us &&
+            r->last_us == last_us &&
+            rt_region_allowed(r->route, topo->regions[r->u->region]));
+}
+
 int
 pxreq_rank(const Req *r)
 {
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -118,6 +118,11 @@
  * yet.  Returns true if its table has changed. */
 bool pxreq_update_route(Req *r, int64_t now_us);
 
+/* Applies a newer table to a request whose upstream is chosen.  Returns true
+ * if the route, and the time left in the head that was prepared, still allow
+ * the attempt. */
+bool pxreq_route_still_allows(Req *r, int64_t now_us);
+
 /* Rank of the route; the lowest without one. */
 int pxreq_rank(const Req *r);
 
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -364,25 +364,6 @@
                              (is_short ? SHORT_BYTES : BACKLOG_BYTES));
 }
 
-/* Applies a table that is newer than the choice of the upstream.  Returns true
- * if the route, and the time left in the head that was prepared, still allow
- * the attempt. */
-static bool
-still_allowed(Req *r, int64_t now_us)
-{
-    const Topology *topo = r->p->o.topology;
-    uint64_t service = r->service->id;
-    uint64_t object = r->object;
-    int64_t end_us = r->end_us;
-    int64_t last_us = r->last_us;
-
-    return !pxreq_update_route(r, now_us) ||
-           (r->route != NULL && r->service->id == service &&
-            r->object == object && r->end_us == end_us &&
-            r->last_us == last_us &&
-            rt_region_allowed(r->route, topo->regions[r->u->region]));
-}
-
 /* Looks at the upstream and the view again before the request is written to a
  * new connection, which may have taken CONNECT_US. */
 static void
@@ -393,8 +374,8 @@
     if (!ups_usable(p->o.upstreams, r->u)) {
         attempt_ended(r, UP_NOT_SENT, now_us);
     }
-    else if (r->n_delivered == 0 &&
-             (!pxreq_view_is_usable(p, now_us) || !still_allowed(r, now_us))) {
+    else if (r->n_delivered == 0 && (!pxreq_view_is_usable(p, now_us) ||
+                                     !pxreq_route_still_allows(r, now_us))) {
         /* The attempt does not count. */
         ups_unref(r->tried[--r->n_tried]);
         pxreq_requeue(r, now_us);
