--- a/tests/free_port.h
+++ b/tests/free_port.h
@@ -25,4 +25,20 @@
     return at;
 }
 
+/* Listens on a free port of loopback, which is then in *at.  Returns the
+ * socket, which does not block. */
+static inline int
+listen_on_loopback(struct sockaddr_in *at)
+{
+    socklen_t len = sizeof(*at);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+    *at = (struct sockaddr_in){.sin_family = AF_INET,
+                               .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    ck_assert_int_eq(bind(fd, (struct sockaddr *)at, len), 0);
+    ck_assert_int_eq(listen(fd, 8), 0);
+    ck_assert_int_eq(getsockname(fd, (struct sockaddr *)at, &len), 0);
+    return fd;
+}
+
 #endif
--- a/tests/px_routes.h
+++ b/tests/px_routes.h
@@ -53,6 +53,18 @@
     world_run(w, SETTLE_US);
 }
 
+/* Starts a request whose route is added while it waits, and ends the wait. */
+static inline int
+ask_while_route_is_added(World *w)
+{
+    start(w, false);
+    world_set_route(w, &removed);
+    int caller = ask_while_waiting(w);
+    world_set_route(w, &added);
+    end_wait(w);
+    return caller;
+}
+
 /* Accepts the connection of the request "a" and answers it. */
 static inline void
 check_served(World *w, int listener, int caller)
--- a/tests/test_kv.c
+++ b/tests/test_kv.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "answers.h"
+#include "free_port.h"
 #include "kv.h"
 
 #define STEP_US 20000
@@ -48,15 +49,10 @@
 static void
 setup(World *w)
 {
-    struct sockaddr_in at = {.sin_family = AF_INET,
-                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t n = sizeof(at);
+    struct sockaddr_in at;
 
     memset(w, 0, sizeof(*w));
-    w->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    ck_assert_int_eq(bind(w->listener, (struct sockaddr *)&at, n), 0);
-    ck_assert_int_eq(listen(w->listener, 8), 0);
-    getsockname(w->listener, (struct sockaddr *)&at, &n);
+    w->listener = listen_on_loopback(&at);
     w->loop = evl_new();
     w->lines = tmpfile();
     DlogOpts lo = {fileno(w->lines), 100, 65536};
--- a/tests/test_kv_slow.c
+++ b/tests/test_kv_slow.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "free_port.h"
 #include "kv.h"
 
 #define LIMIT_US 100000
@@ -59,15 +60,10 @@
 static void
 setup(World *w)
 {
-    struct sockaddr_in at = {.sin_family = AF_INET,
-                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-    socklen_t n = sizeof(at);
+    struct sockaddr_in at;
 
     memset(w, 0, sizeof(*w));
-    w->listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    ck_assert_int_eq(bind(w->listener, (struct sockaddr *)&at, n), 0);
-    ck_assert_int_eq(listen(w->listener, 8), 0);
-    getsockname(w->listener, (struct sockaddr *)&at, &n);
+    w->listener = listen_on_loopback(&at);
     w->loop = evl_new();
     w->conn = kv_new(w->loop, &at, NULL);
     w->sender.fd = -1;
--- a/tests/test_mirror_versions.c
+++ b/tests/test_mirror_versions.c
@@ -6,8 +6,14 @@
 #define EVENT_BYTES (VALUE_BYTES + 256)
 #define EVENTS_MAX 3
 #define FIRST 2            /* answer of a script after START_A_B */
-#define REFUSED 5          /* answers 429 before the one that is cut */
+#define REFUSED 5          /* answers of REFUSED_CALLS */
 #define REFUSED_US 3500000 /* all refused calls and their pauses */
+#define REFUSED_CALL                                                          \
+    {                                                                         \
+        "after=9&", 429, "{}"                                                 \
+    }
+#define REFUSED_CALLS                                                         \
+    REFUSED_CALL, REFUSED_CALL, REFUSED_CALL, REFUSED_CALL, REFUSED_CALL
 
 /* Returns the events of n versions of the configuration after revision 9;
  * release it with g_free(). */
@@ -82,11 +88,7 @@
     char *body = versions(1);
     const Answer script[] = {
         START_A_B,
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
+        REFUSED_CALLS,
         {"after=9&", 200, body},
         {NULL, 0, NULL},
     };
@@ -107,11 +109,7 @@
     char *body = versions(EVENTS_MAX);
     const Answer script[] = {
         START_A_B,
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
+        REFUSED_CALLS,
         {"after=9&", 200, body},
         {"PathPrefix=op/", 200, LIST(ITEM("op/config", "12"), "12")},
         {"/api/kv-range?PathPrefix=$", 200,
@@ -134,11 +132,7 @@
     char *body = versions(1);
     const Answer script[] = {
         START_A_B,
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
+        REFUSED_CALLS,
         {"after=9&", 200, body},
         {NULL, 0, NULL},
     };
@@ -165,11 +159,7 @@
     char *body = versions(1);
     const Answer script[] = {
         START_A_B,
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
-        {"after=9&", 429, "{}"},
+        REFUSED_CALLS,
         {"after=9&", 410, "{}"},
         {"PathPrefix=op/", 200, LIST("", "9")},
         {"after=9&", 429, "{}"},
--- a/tests/test_px_routes.c
+++ b/tests/test_px_routes.c
@@ -65,12 +65,8 @@
 START_TEST(a_request_on_a_route_added_while_it_waits_is_served)
 {
     World w;
+    int caller = ask_while_route_is_added(&w);
 
-    start(&w, false);
-    world_set_route(&w, &removed);
-    int caller = ask_while_waiting(&w);
-    world_set_route(&w, &added);
-    end_wait(&w);
     check_served(&w, w.listener, caller);
     end(&w, caller, -1);
 }
@@ -405,12 +401,8 @@
 START_TEST(a_request_on_an_added_route_counts_in_the_demand)
 {
     World w;
+    int caller = ask_while_route_is_added(&w);
 
-    start(&w, false);
-    world_set_route(&w, &removed);
-    int caller = ask_while_waiting(&w);
-    world_set_route(&w, &added);
-    end_wait(&w);
     ck_assert_int_eq(w.service->arrived, 1);
     check_served(&w, w.listener, caller);
     end(&w, caller, -1);
