Record what brought a configuration, and which requests came before a late one

Cause of the gap: event=in_force says neither by which call a version came nor its revision, a version that is not above the one in force is dropped without a line, and no warning names the requests that an older version has handled.

--- a/src/edge.c
+++ b/src/edge.c
@@ -119,11 +119,44 @@
     g_free(listed);
 }
 
+/* A change that this VM learns of now was made after its copy of the store was
+ * last known to be current.  Requests handled since then, later than the time
+ * limit for changes allows, may have used an older configuration. */
+static void
+log_late_routes(const Edge *g, const RtTable *t)
+{
+    int64_t now_us = evl_now(g->loop);
+    int64_t confirmed_us = px_confirmed(g->px);
+    const RtTable *before = px_routes(g->px);
+
+    if (before == NULL || confirmed_us == 0 ||
+        now_us - confirmed_us <= g->set.config_us) {
+        return;
+    }
+    GString *ids = g_string_new(NULL);
+    int n = px_requests_since(g->px, confirmed_us + g->set.config_us, ids);
+    dlog_event(g->log, DLOG_WARN, "config",
+               "event=late version=%" PRIu64 " before=%" PRIu64
+               " by=%s copy_age_ms=%" PRId64 " uptime_ms=%" PRId64
+               " requests=%d ids=%s",
+               rt_version(t), rt_version(before), mirror_source(g->mirror),
+               (now_us - confirmed_us) / 1000, (now_us - g->started_us) / 1000,
+               n, ids->str);
+    g_string_free(ids, TRUE);
+}
+
+static const char *
+on_source(void *ctx)
+{
+    return mirror_source(((Edge *)ctx)->mirror);
+}
+
 static void
 on_routes(void *ctx, RtTable *t)
 {
     Edge *g = ctx;
 
+    log_late_routes(g, t);
     for (int i = 0; i < rt_n_services(t); i++) {
         demand_service(g->demand, rt_service(t, i)->id);
     }
@@ -436,7 +469,7 @@
         .upstreams = g->upstreams,
         .pool = g->pool,
         .vms = g->vms,
-        .fns = {on_routes, update_sharers},
+        .fns = {on_routes, update_sharers, on_source},
         .ctx = g,
     };
     g->view = view_new(&vo);
@@ -500,6 +533,7 @@
     g->loop = loop;
     g->file = g_strdup(file);
     g->boot_ms = (uint64_t)(g_get_real_time() / 1000);
+    g->started_us = evl_now(loop);
     if (!eset_read(&g->set, file, e)) {
         g_free(g->file);
         g_free(g);
--- a/src/edge_state.h
+++ b/src/edge_state.h
@@ -45,6 +45,7 @@
     EvlTimer tick;
     EvlTimer crash_step; /* while crash_waiting() */
     uint64_t boot_ms;
+    int64_t started_us;
     int64_t propagation_us; /* longest time for a change to be known to all
                                VMs */
     bool view_complete;
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -155,6 +155,12 @@
     }
 }
 
+static void
+on_resync_page(void *ctx)
+{
+    ((Feed *)ctx)->m->source = "resync";
+}
+
 static void
 on_resync(void *ctx, int64_t now_us)
 {
@@ -272,6 +278,7 @@
          * revision counts. */
         kvcache_set_rev(f->cache, p.rev);
     }
+    f->m->source = "list";
     kvcache_merge(f->cache, &p, now_us);
     if (p.more && p.items->len > 0) {
         g_free(f->after);
@@ -321,6 +328,7 @@
         feed_list(f);
         return;
     }
+    f->m->source = "operator_list";
     kvcache_merge(f->cache, &p, now_us);
     kvcache_set_rev(f->cache, p.rev);
     kv_page_clear(&p);
@@ -393,6 +401,7 @@
         feed_failed(f, "watch", status, now_us);
         return;
     }
+    f->m->source = "watch";
     mirror_feed_apply(f, &p, now_us);
     guint n = (guint)p.n_sent;
     kv_page_clear(&p);
@@ -501,6 +510,7 @@
     Mirror *m = g_new0(Mirror, 1);
 
     m->o = *o;
+    m->source = "-";
     while (o->prefixes[m->n_feeds] != NULL) {
         m->n_feeds++;
     }
@@ -523,6 +533,7 @@
                          .prefix = f->prefix,
                          .propagation_us = o->propagation_us,
                          .cache = f->cache,
+                         .merging = on_resync_page,
                          .found = on_resync,
                          .ctx = f};
         f->resync = resync_new(&go);
@@ -552,6 +563,12 @@
     g_free(m);
 }
 
+const char *
+mirror_source(const Mirror *m)
+{
+    return m->source;
+}
+
 MirrorCounts
 mirror_counts(const Mirror *m)
 {
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -85,6 +85,10 @@
 /* Applies changes that another VM read from the store and forwarded. */
 void mirror_receive(Mirror *m, const Gossip *w, int64_t now_us);
 
+/* Returns the name of what brought the last items: "list", "operator_list",
+ * "watch", "gossip", "early_gossip" or "resync". */
+const char *mirror_source(const Mirror *m);
+
 /* Counts since mirror_new(). */
 typedef struct MirrorCounts {
     int64_t calls;            /* to the store */
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -126,6 +126,7 @@
                                                       g_rand_double(m->o.rnd));
 
     m->missing++;
+    m->source = "early_gossip";
     kvcache_apply_early(f->cache, &w->page, now_us);
     if (!f->pausing) {
         return;
@@ -159,6 +160,7 @@
     case GOSSIP_OLD:
         break;
     case GOSSIP_NEXT:
+        m->source = "gossip";
         kvcache_apply_events(f->cache, &w->page, NULL, now_us);
         f->missed = f->missed && kvcache_rev(f->cache) < f->missed_rev;
         /* The message may have waited in the socket of this VM. */
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -69,6 +69,7 @@
     bool not_current; /* the same without "failed" */
     bool receiving;   /* MirrorFns.receiving was called, and "current" not
                          since */
+    const char *source; /* see mirror_source() */
     int64_t calls;
     int64_t deferred;
     int64_t missing;
--- a/src/px.c
+++ b/src/px.c
@@ -29,6 +29,7 @@
 refuse_unrouted(Req *r, int64_t now_us)
 {
     if (r->p->view_complete) {
+        routeuse_add(&r->p->route_use, r->attempt, now_us);
         pxreq_respond(r, PX_UNROUTED, 404, "no_route", 0, now_us);
     }
     else {
@@ -172,6 +173,7 @@
     }
     if (route == NULL && pxreq_view_is_usable(p, now_us)) {
         p->counts[PX_UNROUTED]++;
+        routeuse_add(&p->route_use, id, now_us);
         if (dlog_admit(p->o.log, true, now_us)) {
             dlog_event(p->o.log, DLOG_INFO, "request",
                        "id=%s event=no_route status=404 config=%" PRIu64,
@@ -275,6 +277,12 @@
     p->queue_outdated = true;
 }
 
+int
+px_requests_since(const Px *p, int64_t since_us, GString *ids)
+{
+    return routeuse_since(&p->route_use, since_us, ids);
+}
+
 const RtTable *
 px_routes(const Px *p)
 {
@@ -313,6 +321,12 @@
     p->store_failed_us = 0;
 }
 
+int64_t
+px_confirmed(const Px *p)
+{
+    return p->confirmed_us;
+}
+
 void
 px_store_failed(Px *p, int64_t now_us)
 {
--- a/src/px.h
+++ b/src/px.h
@@ -46,6 +46,9 @@
 /* Takes a reference of the table, which also applies to the requests that
  * were not sent to an upstream yet. */
 void px_set_routes(Px *p, RtTable *t);
+/* Requests handled by the present routes since since_us; see
+ * routeuse_since(). */
+int px_requests_since(const Px *p, int64_t since_us, GString *ids);
 const RtTable *px_routes(const Px *p);
 
 /* The view of the store is complete and confirmed by the store.  Requests that
@@ -63,6 +66,8 @@
 /* This VM knows all changes of the store before at_us.  If that is recent,
  * the routes are current too. */
 void px_set_confirmed(Px *p, int64_t at_us);
+/* The last at_us; 0: none. */
+int64_t px_confirmed(const Px *p);
 
 /* A call to the store failed.  Requests do not wait for a newer copy while
  * calls have failed for some time. */
--- a/src/pxreq.h
+++ b/src/pxreq.h
@@ -10,6 +10,7 @@
 #include "hist.h"
 #include "outcome.h"
 #include "px.h"
+#include "routeuse.h"
 
 typedef enum ReqState { REQ_PENDING, REQ_SENT, REQ_STREAMING } ReqState;
 
@@ -94,6 +95,7 @@
     Hist caller_time;
     Hist upstream_time;
     Hist copy_age; /* time since confirmed_us at the start of an attempt */
+    RouteUse route_use;
 };
 
 /* True if a request may be sent by what this VM knows: its copy of the store
--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -556,6 +556,7 @@
     r->state = REQ_SENT;
     r->may_run = true;
     r->sent_us = now_us;
+    routeuse_add(&p->route_use, r->attempt, now_us);
     r->copy_age_us = now_us - p->confirmed_us;
     hist_add(&p->copy_age, r->copy_age_us);
     r->new_conn = !uconn_connected(r->conn);
--- a/src/resync.c
+++ b/src/resync.c
@@ -80,6 +80,7 @@
         g->oldest = p->rev;
     }
     g->oldest = MIN(g->oldest, p->rev);
+    g->o.merging(g->o.ctx);
     kvcache_merge(g->o.cache, p, now_us);
     if (!p->more || p->items->len == 0) {
         return false;
--- a/src/resync.h
+++ b/src/resync.h
@@ -28,6 +28,8 @@
     const char *prefix;
     int64_t propagation_us; /* longest time for a change to reach this VM */
     KvCache *cache;
+    /* A page is about to be merged into the cache. */
+    void (*merging)(void *ctx);
     /* The changes are in the cache. */
     void (*found)(void *ctx, int64_t now_us);
     void *ctx;
--- a/src/view.c
+++ b/src/view.c
@@ -9,6 +9,7 @@
 struct View {
     ViewOpts o;
     RtTable *table;
+    uint64_t table_rev; /* revision of the store that brought the table */
     int64_t unreadable;
 };
 
@@ -46,8 +47,14 @@
     return v->table == NULL ? 0 : rt_version(v->table);
 }
 
+static const char *
+source_name(const View *v)
+{
+    return v->o.fns.source == NULL ? "-" : v->o.fns.source(v->o.ctx);
+}
+
 static void
-apply_config(View *v, Str text)
+apply_config(View *v, Str text, uint64_t rev)
 {
     Err e = {0};
     RtTable *t = pf_parse_config(text, &e);
@@ -55,21 +62,31 @@
     if (t == NULL) {
         v->unreadable++;
         dlog_event(v->o.log, DLOG_WARN, "config",
-                   "event=unreadable in_force=%" PRIu64 " error=\"%s\"",
-                   current_version(v), dlog_quoted(e.text).s);
+                   "event=unreadable in_force=%" PRIu64 " rev=%" PRIu64
+                   " by=%s error=\"%s\"",
+                   current_version(v), rev, source_name(v),
+                   dlog_quoted(e.text).s);
         return;
     }
     if (v->table != NULL && rt_version(t) <= rt_version(v->table)) {
+        if (rev != v->table_rev) {
+            dlog_event(v->o.log, DLOG_WARN, "config",
+                       "event=ignored version=%" PRIu64 " rev=%" PRIu64
+                       " by=%s in_force=%" PRIu64 " in_force_rev=%" PRIu64,
+                       rt_version(t), rev, source_name(v), current_version(v),
+                       v->table_rev);
+        }
         rt_unref(t);
         return;
     }
     dlog_event(v->o.log, DLOG_INFO, "config",
                "event=in_force version=%" PRIu64 " before=%" PRIu64
-               " idle_ms=%" PRId64,
-               rt_version(t), current_version(v),
-               rt_limits(t)->idle_us / 1000);
+               " idle_ms=%" PRId64 " rev=%" PRIu64 " by=%s",
+               rt_version(t), current_version(v), rt_limits(t)->idle_us / 1000,
+               rev, source_name(v));
     rt_unref(v->table);
     v->table = t;
+    v->table_rev = rev;
     v->o.fns.routes(v->o.ctx, t);
 }
 
@@ -175,7 +192,7 @@
 {
     switch (kind) {
     case PF_CONFIG:
-        apply_config(v, text);
+        apply_config(v, text, rev);
         break;
     case PF_UPSTREAM:
         apply_upstream(v, name, text, rev, now_us);
--- a/src/view.h
+++ b/src/view.h
@@ -25,6 +25,8 @@
     void (*routes)(void *ctx, RtTable *t);
     /* The list of VMs has changed. */
     void (*vms)(void *ctx);
+    /* Returns what brought the present item, for the log.  May be NULL. */
+    const char *(*source)(void *ctx);
 } ViewFns;
 
 typedef struct ViewOpts {
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -408,7 +408,32 @@
 }
 END_TEST
 
+/* Guards against a configuration that is dropped without a line, which hides
+ * why a VM goes on with an older one. */
+START_TEST(ignored_configuration_leaves_a_warning)
+{
+    static const char text[] =
+        "{\"Version\":7,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
+    World w;
+    char buf[4096];
+
+    setup(&w);
+    put(&w, "op/config", text);
+    put(&w, "op/config", text);
+    ck_assert_int_eq(w.n_routes, 1);
+    dlog_flush(w.log);
+    ssize_t n = read(w.fds[0], buf, sizeof(buf) - 1);
+    ck_assert_int_gt(n, 0);
+    buf[n] = '\0';
+    ck_assert_ptr_nonnull(strstr(buf, "level=warn part=config event=ignored "
+                                      "version=7 rev=2 by=- in_force=7 "
+                                      "in_force_rev=1"));
+    teardown(&w);
+}
+END_TEST
+
 T_MAIN("odd_entries", id_with_control_characters_names_no_upstream,
        entries_cannot_forge_log_lines, odd_values_leave_other_entries_in_use,
        odd_value_takes_its_own_upstream_out_of_use,
-       mutated_values_do_not_end_the_process)
+       mutated_values_do_not_end_the_process,
+       ignored_configuration_leaves_a_warning)
