Show a VM that starts from an old copy with the newest revision

standin-platform gets /test/copy (a copy of the store for lists with Serializable=1), /test/back (a store that came back from an older copy) and the mode withhold (a watch whose CurrentRev is above its events).

--- a/standins/platform.c
+++ b/standins/platform.c
@@ -31,7 +31,17 @@
  *   PUT  /test/mode?MODE   ok; busy: respond 503; refuse: respond 429;
  *                          silent: do not respond; forget: respond 410 to the
  *                          next watch, then return to ok; partial: do not
- *                          respond to the second page of a list
+ *                          respond to the second page of a list; withhold:
+ *                          a watch that waits gets the newest CurrentRev
+ *                          without the newest event, which a later watch from
+ *                          below gets
+ *   PUT  /test/copy?REV    lists with Serializable=1 are answered from a copy
+ *                          that is made now; their CurrentRev is that of the
+ *                          copy (own) or that of the store (newest); without
+ *                          REV from the store again
+ *   PUT  /test/back?N      the revision of the store falls by N, as that of a
+ *                          store that came back from an older copy; keys
+ *                          changed since are lost
  *   PUT  /test/endless?K   the store responds to all calls without end, see
  *                          endless_kinds; without K it does no longer
  *   GET  /test/runs?ID     number of runs of the attempt ID
--- a/standins/platform_history.h
+++ b/standins/platform_history.h
@@ -66,11 +66,11 @@
     drop_old_events(p, ev->at_us);
 }
 
-/* Responds to a watch with its first WATCH_EVENTS changes, or without any if
- * force is set.  Returns true if it has responded; the watch must then be
- * freed. */
+/* Responds to a watch with its first WATCH_EVENTS changes up to revision upto,
+ * or without any if force is set.  Returns true if it has responded; the watch
+ * must then be freed. */
 static bool
-respond_to_watch(Watch *w, bool force)
+respond_to_watch(Watch *w, uint64_t upto, bool force)
 {
     Platform *p = w->p;
     GString *g = g_string_new("{\"events\":[");
@@ -80,7 +80,8 @@
     for (GList *l = p->history->head; l != NULL && n < WATCH_EVENTS;
          l = l->next) {
         const Item *it = &((const Event *)l->data)->item;
-        if (it->rev > w->after_rev && g_str_has_prefix(it->key, w->prefix)) {
+        if (it->rev > w->after_rev && it->rev <= upto &&
+            g_str_has_prefix(it->key, w->prefix)) {
             append_item(g, it);
             last_rev = it->rev;
             n++;
@@ -110,16 +111,19 @@
 on_watch_end(void *ctx, int64_t now_us)
 {
     (void)now_us;
-    respond_to_watch(ctx, true);
+    respond_to_watch(ctx, UINT64_MAX, true);
     watch_free(ctx);
 }
 
 static void
 notify_watches(Platform *p)
 {
+    bool withhold = p->mode == MODE_WITHHOLD;
+    uint64_t upto = withhold ? p->rev - 1 : UINT64_MAX;
+
     for (guint i = p->watches->len; i-- > 0;) {
         Watch *w = g_ptr_array_index(p->watches, i);
-        if (respond_to_watch(w, false)) {
+        if (respond_to_watch(w, upto, withhold)) {
             watch_free(w);
         }
     }
--- a/standins/platform_state.h
+++ b/standins/platform_state.h
@@ -28,11 +28,12 @@
     MODE_REFUSE,
     MODE_SILENT,
     MODE_FORGET,
-    MODE_PARTIAL
+    MODE_PARTIAL,
+    MODE_WITHHOLD
 } Mode;
 
-static const char *const mode_names[] = {"ok",     "busy",   "refuse",
-                                         "silent", "forget", "partial"};
+static const char *const mode_names[] = {
+    "ok", "busy", "refuse", "silent", "forget", "partial", "withhold"};
 
 typedef struct Item {
     char *key;
@@ -96,6 +97,9 @@
     uint64_t rev;
     uint64_t last_lease_id;
     GPtrArray *items;  /* Item; latest of each key, also of removed keys */
+    GPtrArray *copy;   /* Item; what lists with Serializable=1 hold, NULL: the
+                          present items */
+    uint64_t copy_rev; /* CurrentRev of these lists, 0: that of the store */
     GQueue *history;   /* Event; in order of revision */
     uint64_t lost_rev; /* newest change that the history no longer holds */
     GArray *leases;    /* Lease */
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -64,6 +64,53 @@
     return strcmp((*(Item *const *)a)->key, (*(Item *const *)b)->key);
 }
 
+static bool
+is_serializable(Str target)
+{
+    char *value = query_param(target, "Serializable");
+    bool yes = g_strcmp0(value, "1") == 0;
+
+    g_free(value);
+    return yes;
+}
+
+/* rev: "own", "newest" or empty, see platform.c. */
+static void
+set_copy(Platform *p, const char *rev)
+{
+    g_clear_pointer(&p->copy, g_ptr_array_unref);
+    if (*rev == '\0') {
+        return;
+    }
+    p->copy = g_ptr_array_new_with_free_func(item_free);
+    for (guint i = 0; i < p->items->len; i++) {
+        const Item *from = g_ptr_array_index(p->items, i);
+        Item *it = g_new0(Item, 1);
+        *it = *from;
+        it->key = g_strdup(from->key);
+        it->encoded = g_strdup(from->encoded);
+        g_ptr_array_add(p->copy, it);
+    }
+    p->copy_rev = strcmp(rev, "own") == 0 ? p->rev : 0;
+}
+
+/* Values that were replaced since are not kept: their keys are lost. */
+static void
+go_back(Platform *p, uint64_t n)
+{
+    p->rev -= MIN(n, p->rev);
+    for (guint i = p->items->len; i-- > 0;) {
+        if (((Item *)g_ptr_array_index(p->items, i))->rev > p->rev) {
+            g_ptr_array_remove_index(p->items, i);
+        }
+    }
+    for (Event *ev = g_queue_peek_tail(p->history);
+         ev != NULL && ev->item.rev > p->rev;
+         ev = g_queue_peek_tail(p->history)) {
+        event_free(g_queue_pop_tail(p->history));
+    }
+}
+
 static void
 on_range(Platform *p, Caller *c, Str target)
 {
@@ -71,11 +118,14 @@
     char *after = query_param(target, "after");
     GString *g = g_string_new("{\"items\":[");
     bool partial = p->mode == MODE_PARTIAL;
+    bool copy = p->copy != NULL && is_serializable(target);
+    const GPtrArray *items = copy ? p->copy : p->items;
+    uint64_t rev = copy && p->copy_rev != 0 ? p->copy_rev : p->rev;
     GPtrArray *found = g_ptr_array_new();
     guint n = 0;
 
-    for (guint i = 0; i < p->items->len; i++) {
-        Item *it = g_ptr_array_index(p->items, i);
+    for (guint i = 0; i < items->len; i++) {
+        Item *it = g_ptr_array_index(items, i);
         if (it->encoded != NULL && prefix != NULL &&
             g_str_has_prefix(it->key, prefix) &&
             (after == NULL || strcmp(it->key, after) > 0)) {
@@ -89,7 +139,7 @@
     }
     g_string_append_printf(
         g, "],\"HasMore\":%s,\"CurrentRev\":%" G_GUINT64_FORMAT "}",
-        partial || n < found->len ? "true" : "false", MAX(p->rev, 1));
+        partial || n < found->len ? "true" : "false", MAX(rev, 1));
     g_ptr_array_free(found, TRUE);
     if (!partial || after == NULL) {
         respond(c, 200, g->str);
@@ -118,7 +168,7 @@
         watch_free(w);
         respond(c, 410, "{}");
     }
-    else if (respond_to_watch(w, false)) {
+    else if (respond_to_watch(w, UINT64_MAX, false)) {
         watch_free(w);
     }
     else {
@@ -332,6 +382,12 @@
     else if (strcmp(what, "delete") == 0) {
         put(p, arg, NULL, 0);
     }
+    else if (strcmp(what, "copy") == 0) {
+        set_copy(p, arg);
+    }
+    else if (strcmp(what, "back") == 0) {
+        go_back(p, g_ascii_strtoull(arg, NULL, 10));
+    }
     else if (strcmp(what, "mode") == 0) {
         set_mode(p, arg);
     }
