Test the revision from which the next watch continues

Scripted stores: a first list whose CurrentRev is above its items, pages of different age, an empty first list, a watch whose CurrentRev is above its events, and a watch, a list and a list of the operator's keys whose CurrentRev is below the revision that they were asked from.

--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -78,7 +78,11 @@
     StubConn *dripping;
     unsigned conns_max; /* 0: CONNS_MAX */
     int64_t announced_age_us;
-    char announced[256]; /* keys that were announced to other VMs */
+    char announced[256];   /* keys that were announced to other VMs */
+    uint64_t announced_to; /* highest revision of these messages */
+    char changes[512];     /* "KEY@REV " or "-KEY@REV " of each change */
+    uint64_t news_from;    /* the message of news continues from it; 0: from
+                              gossip_rev */
 } Store;
 
 /* A pattern that ends with "$" must match at the end of the call, others
@@ -187,9 +191,12 @@
         int64_t now_us)
 {
     Store *s = ctx;
-    (void)rev;
+    size_t n = strlen(s->changes);
     (void)now_us;
 
+    g_snprintf(s->changes + n, sizeof(s->changes) - n,
+               "%s%s@%" G_GUINT64_FORMAT " ", value == NULL ? "-" : "", key,
+               rev);
     if (value == NULL) {
         g_hash_table_remove(s->keys, key);
         return;
@@ -263,7 +270,8 @@
 on_news_timer(void *ctx, int64_t now_us)
 {
     Store *s = ctx;
-    Gossip w = {.from = s->gossip_rev, .page = {.rev = s->gossip_rev}};
+    Gossip w = {.from = s->news_from != 0 ? s->news_from : s->gossip_rev,
+                .page = {.rev = s->gossip_rev}};
     KvItem removed = {
         .key = g_strdup(s->news), .rev = s->gossip_rev, .deleted = true};
 
@@ -314,7 +322,7 @@
     Store *s = ctx;
 
     s->announced_age_us = o->age_us;
-
+    s->announced_to = MAX(s->announced_to, o->to);
     for (int i = 0; i < o->n; i++) {
         g_strlcat(s->announced, o->items[i]->key, sizeof(s->announced));
         g_strlcat(s->announced, " ", sizeof(s->announced));
