Continue a watch from the revision that the items show

Cause: the watch that confirms the first list continued from the list's CurrentRev. The list is read from a copy that may be seconds old; if that names the store's revision beside old items, all changes between are missed until their keys change again. A watch whose CurrentRev is above its events loses events in the same way, and told other VMs by gossip that they lack nothing.

A page of a copy now counts for the highest revision of its items, the lowest over the pages, 0 without items; a watch for the highest of its events. Asking from below returns only what was already seen. An answer of a watch with a revision above its events is neither forwarded nor confirms the copy; the store is asked again at once, and after a second such answer in a row counts as before, from the lower position. Answers with events that cannot be read keep CurrentRev, or would be sent again for ever. Lists of the store itself keep CurrentRev.

--- a/src/kv.h
+++ b/src/kv.h
@@ -37,11 +37,13 @@
 
 /* A page of a listing, or the events of a watch. */
 typedef struct KvPage {
-    GArray *items; /* KvItem */
-    int n_sent;    /* items that the store sent; set by kvpage_read() */
-    int dropped;   /* items that could not be read */
-    bool more;     /* another page follows */
-    uint64_t rev;  /* revision of the store when it answered */
+    GArray *items;       /* KvItem */
+    int n_sent;          /* items that the store sent; set by kvpage_read() */
+    int dropped;         /* items that could not be read */
+    bool more;           /* another page follows */
+    uint64_t rev;        /* revision of the store when it answered */
+    uint64_t proven_rev; /* revision that the items show, at most rev; set by
+                            kvpage_read() */
 } KvPage;
 
 typedef struct KvLease {
--- a/src/kvpage.c
+++ b/src/kvpage.c
@@ -50,6 +50,20 @@
     kv_page_clear(&(KvPage){.items = replaced});
 }
 
+static uint64_t
+proven_rev(const KvPage *p, KvPageKind kind)
+{
+    uint64_t rev = 0;
+
+    if (kind == KVPAGE_EVENTS && p->dropped > 0) {
+        return p->rev;
+    }
+    for (guint i = 0; i < p->items->len; i++) {
+        rev = MAX(rev, g_array_index(p->items, KvItem, i).rev);
+    }
+    return MIN(rev, p->rev);
+}
+
 bool
 kvpage_read(KvPages *k, KvPageKind kind, Str body, KvPage *out)
 {
@@ -74,6 +88,7 @@
                    k->prefix, call, out->dropped, out->rev);
     }
     out->n_sent = (int)out->items->len + out->dropped;
+    out->proven_rev = proven_rev(out, kind);
     if (kind == KVPAGE_EVENTS) {
         drop_replaced(out);
     }
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -272,12 +272,7 @@
         feed_failed(f, "list", status, now_us);
         return;
     }
-    if (f->after == NULL || p.rev < kvcache_rev(f->cache)) {
-        /* The watch returns changes made during the listing again.  A later
-         * page may come from an older copy of the store, so the oldest
-         * revision counts. */
-        kvcache_set_rev(f->cache, p.rev);
-    }
+    mirror_feed_listed(f, &p);
     f->m->source = "list";
     kvcache_merge(f->cache, &p, now_us);
     if (p.more && p.items->len > 0) {
@@ -402,10 +397,10 @@
         return;
     }
     f->m->source = "watch";
-    mirror_feed_apply(f, &p, now_us);
+    bool complete = mirror_feed_apply(f, &p, now_us);
     guint n = (guint)p.n_sent;
     kv_page_clear(&p);
-    if (f->confirming && n >= CONFIRM_EVENTS) {
+    if (!complete || (f->confirming && n >= CONFIRM_EVENTS)) {
         feed_watch(f);
         return;
     }
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -89,17 +89,20 @@
     return CLAMP(evl_since(f->m->o.loop), f->watch_start_us, waited_us);
 }
 
-void
+bool
 mirror_feed_apply(Feed *f, const KvPage *p, int64_t now_us)
 {
     Mirror *m = f->m;
     GPtrArray *forward = g_ptr_array_new();
     uint64_t from = kvcache_rev(f->cache);
+    KvPage proven = *p;
 
-    kvcache_apply_events(f->cache, p, forward, now_us);
+    proven.rev = p->proven_rev;
+    kvcache_apply_events(f->cache, &proven, forward, now_us);
+    bool lacks_events = mirror_feed_lacks_events(f, p);
     int64_t since_failure_us =
         f->failed_us == 0 ? INT64_MAX : now_us - f->failed_us;
-    if (!f->missed && !f->confirming &&
+    if (!f->missed && !f->confirming && !lacks_events &&
         gossip_is_fresh(m->o.propagation_us,
                         evl_boottime() - f->watch_start_us,
                         since_failure_us)) {
@@ -114,6 +117,7 @@
         log_forwarded(f, p, &o);
     }
     g_ptr_array_free(forward, TRUE);
+    return !lacks_events;
 }
 
 /* Applies the items of a message before which revisions are missing, and
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -1,5 +1,6 @@
 /*
- * mirror_state - state of a mirror, for mirror.c and mirror_gossip.c only.
+ * mirror_state - state of a mirror, for mirror.c, mirror_gossip.c and
+ * mirror_rev.c only.
  */
 #ifndef MIMOSA_MIRROR_STATE_H
 #define MIMOSA_MIRROR_STATE_H
@@ -54,6 +55,8 @@
     bool failing;
     bool urgent_pending; /* changes were missed; read the urgent keys first */
     bool skip_copies;    /* the resync reads the store itself */
+    bool rev_above;      /* the last answer of a watch had a revision above its
+                            events */
     Resync *resync;
     KvCache *cache;
     KvPages pages;
@@ -99,7 +102,20 @@
 void mirror_feed_pause(Feed *f, bool by_gossip, int64_t now_us);
 
 /* Applies the events of a watch, and forwards them to nearby VMs if the answer
- * is recent enough. */
-void mirror_feed_apply(Feed *f, const KvPage *p, int64_t now_us);
+ * is recent enough.  Returns false if it may lack events and the store is to
+ * be asked again at once. */
+bool mirror_feed_apply(Feed *f, const KvPage *p, int64_t now_us);
+
+/* Sets the position after a page of a list.  A page of a copy shows the
+ * changes up to the last of its items only: its revision may be that of the
+ * store.  The oldest page counts, and the watch returns later changes again.
+ */
+void mirror_feed_listed(Feed *f, const KvPage *p);
+
+/* Returns true if the revision of the answer of a watch, whose events are
+ * applied, is above what they show, for the first time in a row.  The next
+ * watch then shows whether an event was missing; a store that names a revision
+ * without an event of its own is not asked more often. */
+bool mirror_feed_lacks_events(Feed *f, const KvPage *p);
 
 #endif
--- a/tests/test_regain.c
+++ b/tests/test_regain.c
@@ -51,7 +51,7 @@
     int n_forgot; /* watches that were answered 410 */
 } Net;
 
-#define ITEM(key) "{\"Key\":\"" key "\",\"Value\":\"eA==\",\"Rev\":3}"
+#define ITEM(key) "{\"Key\":\"" key "\",\"Value\":\"eA==\",\"Rev\":5}"
 #define LIST(items, rev)                                                      \
     "{\"items\":[" items "],\"HasMore\":false,\"CurrentRev\":" rev "}"
 
