Take what a store holds that came back from an older copy

Cause: an answer whose CurrentRev was below the position it was asked from was taken for an empty one that confirms the copy; the key cache held what was newer than the store; and view dropped a configuration whose version was not above the one in force.

Such an answer of the store itself is now a warning (revision_back), by the position that the call or the list began with, as gossip may move the position meanwhile. All keys are listed from the store, and that list replaces entries of any revision; keys with a revision above it are removed if it lacks them. Gossip is ignored for the propagation time then, since other VMs may have sent what the store has lost. When the watches stay below the lists, the lists have the pause of watches between them.

view takes what the key cache gives it, which orders by revision, and warns (version_back) when the version is not above the one in force. An old list or copy cannot bring an older configuration back, as its revision is below that of the cached key (old_copy_with_newest_revision_changes_no_newer_key).

--- a/src/kvcache.c
+++ b/src/kvcache.c
@@ -109,6 +109,43 @@
     }
 }
 
+void
+kvcache_replace(KvCache *k, const KvPage *p, int64_t now_us)
+{
+    for (guint i = 0; i < p->items->len; i++) {
+        const KvItem *item = &g_array_index(p->items, KvItem, i);
+        Entry *e = g_hash_table_lookup(k->entries, item->key);
+        if (e == NULL || e->removed || item->rev != e->rev) {
+            apply(k, item, now_us);
+        }
+        else {
+            e->round = k->round;
+        }
+    }
+}
+
+void
+kvcache_drop_newer(KvCache *k, uint64_t upto, int64_t now_us)
+{
+    GHashTableIter it;
+    gpointer key;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, k->entries);
+    while (g_hash_table_iter_next(&it, &key, &v)) {
+        Entry *e = v;
+        if (e->rev <= upto || e->round == k->round) {
+            continue;
+        }
+        if (!e->removed) {
+            k->changed(k->ctx, key, NULL, upto, now_us);
+        }
+        /* Later changes of the key have revisions below its present one. */
+        set_removed(k, e, false);
+        g_hash_table_iter_remove(&it);
+    }
+}
+
 int
 kvcache_drop_missing(KvCache *k, uint64_t upto, uint32_t lists, int64_t now_us)
 {
--- a/src/kvcache.h
+++ b/src/kvcache.h
@@ -4,7 +4,7 @@
  *
  * The content follows from the store's answers alone, in any order of lists,
  * events and copies of the store that are out of date: a key never returns to
- * an earlier revision.
+ * an earlier revision, but by kvcache_replace().
  */
 #ifndef MIMOSA_KVCACHE_H
 #define MIMOSA_KVCACHE_H
@@ -32,6 +32,13 @@
  * may be out of date. */
 void kvcache_merge(KvCache *k, const KvPage *p, int64_t now_us);
 
+/* The same for a list of the store itself, whose revision has fallen: what the
+ * list holds counts, whatever the revision of the cached entry. */
+void kvcache_replace(KvCache *k, const KvPage *p, int64_t now_us);
+
+/* Removes the keys with a revision above "upto" that the last list lacked. */
+void kvcache_drop_newer(KvCache *k, uint64_t upto, int64_t now_us);
+
 /* Ends a list and removes the keys that were missing in each of the last
  * "lists" lists, including this one.  upto: revision of the list; keys with a
  * later revision are not expected in it.  Returns the number of keys missing
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -248,6 +248,7 @@
         feed_watch(f);
         return;
     }
+    mirror_feed_replaced(f, now_us);
     f->relist =
         kvcache_drop_missing(f->cache, kvcache_rev(f->cache), 2, now_us) > 0;
     g_clear_pointer(&f->after, g_free);
@@ -272,9 +273,14 @@
         feed_failed(f, "list", status, now_us);
         return;
     }
+    if (!f->stale && mirror_feed_rev_back(f, &p)) {
+        kv_page_clear(&p);
+        feed_list(f);
+        return;
+    }
     mirror_feed_listed(f, &p);
     f->m->source = "list";
-    kvcache_merge(f->cache, &p, now_us);
+    mirror_feed_merge(f, &p, now_us);
     if (p.more && p.items->len > 0) {
         g_free(f->after);
         f->after =
@@ -301,6 +307,7 @@
         kvcache_begin_list(f->cache);
         g_clear_pointer(&f->after, g_free);
         f->list_start_us = evl_boottime();
+        f->asked_rev = kvcache_rev(f->cache);
     }
     feed_call(f, f->m->o.codec->list(f->prefix, f->after, f->stale),
               CALL_TIMEOUT_US, KV_ANSWER_BYTES_MAX, on_list);
@@ -317,7 +324,7 @@
         return;
     }
     f->urgent_pending = false;
-    if (p.more) {
+    if (mirror_feed_rev_back(f, &p) || p.more) {
         /* More than one page of urgent keys: list everything instead. */
         kv_page_clear(&p);
         feed_list(f);
@@ -339,6 +346,7 @@
 feed_list_urgent(Feed *f)
 {
     f->list_start_us = evl_boottime();
+    f->asked_rev = kvcache_rev(f->cache);
     feed_call(f, f->m->o.codec->list(f->m->o.urgent, NULL, false),
               CALL_TIMEOUT_US, KV_ANSWER_BYTES_MAX, on_urgent);
 }
@@ -369,6 +377,18 @@
     feed_list_urgent(f);
 }
 
+/* Lists all keys of a store that came back from an older copy; with a pause
+ * when its lists and watches keep differing. */
+static void
+watch_back(Feed *f, int64_t now_us)
+{
+    if (now_us < f->gossip_from_us) {
+        mirror_feed_pause(f, false, now_us);
+        return;
+    }
+    feed_list(f);
+}
+
 static void
 on_watch(void *ctx, int status, Str body, int64_t now_us)
 {
@@ -396,6 +416,11 @@
         feed_failed(f, "watch", status, now_us);
         return;
     }
+    if (mirror_feed_rev_back(f, &p)) {
+        kv_page_clear(&p);
+        watch_back(f, now_us);
+        return;
+    }
     f->m->source = "watch";
     bool complete = mirror_feed_apply(f, &p, now_us);
     guint n = (guint)p.n_sent;
@@ -434,6 +459,7 @@
                                                mirror_feed_watched_age_us(f));
     int wait_ms = MAX((int)(wait_us / 1000), CONFIRM_WAIT_MS);
 
+    f->asked_rev = kvcache_rev(f->cache);
     f->watch_start_us = evl_boottime();
     f->watch_wait_us = wait_ms * INT64_C(1000);
     evl_arm(f->m->o.loop, &f->wait_end,
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -157,7 +157,8 @@
         return;
     }
     Feed *f = &m->feeds[w->feed];
-    if (f->listing || !f->listed || f->relist || f->urgent_pending) {
+    if (f->listing || !f->listed || f->relist || f->urgent_pending ||
+        now_us < f->gossip_from_us) {
         return;
     }
     switch (gossip_order(kvcache_rev(f->cache), w->from, w->page.rev)) {
--- a/src/mirror_rev.c
+++ b/src/mirror_rev.c
@@ -29,3 +29,45 @@
     f->rev_above = above;
     return first;
 }
+
+bool
+mirror_feed_rev_back(Feed *f, const KvPage *p)
+{
+    if (f->replacing || p->rev >= f->asked_rev) {
+        return false;
+    }
+    dlog_event(f->m->o.log, DLOG_WARN, "store",
+               "event=revision_back prefix=%s asked=%" G_GUINT64_FORMAT
+               " rev=%" G_GUINT64_FORMAT,
+               f->prefix, f->asked_rev, p->rev);
+    f->replacing = true;
+    f->relist = true;
+    f->listing = false;
+    f->confirming = false;
+    f->urgent_pending = false;
+    return true;
+}
+
+void
+mirror_feed_merge(Feed *f, const KvPage *p, int64_t now_us)
+{
+    if (f->replacing) {
+        kvcache_replace(f->cache, p, now_us);
+    }
+    else {
+        kvcache_merge(f->cache, p, now_us);
+    }
+}
+
+void
+mirror_feed_replaced(Feed *f, int64_t now_us)
+{
+    if (!f->replacing) {
+        return;
+    }
+    kvcache_drop_newer(f->cache, kvcache_rev(f->cache), now_us);
+    f->replacing = false;
+    /* Other VMs learn of it by their own next watch, and may have sent what
+     * the store has lost. */
+    f->gossip_from_us = now_us + f->m->o.propagation_us;
+}
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -55,8 +55,13 @@
     bool failing;
     bool urgent_pending; /* changes were missed; read the urgent keys first */
     bool skip_copies;    /* the resync reads the store itself */
-    bool rev_above;      /* the last answer of a watch had a revision above its
-                            events */
+    uint64_t asked_rev;  /* position when the call under way began, or the
+                            list that it is part of */
+    bool replacing;      /* the revision of the store has fallen; its next list
+                            counts whatever the revisions of the copy */
+    int64_t gossip_from_us; /* gossip from before is ignored; steady time */
+    bool rev_above; /* the last answer of a watch had a revision above its
+                       events */
     Resync *resync;
     KvCache *cache;
     KvPages pages;
@@ -112,6 +117,17 @@
  */
 void mirror_feed_listed(Feed *f, const KvPage *p);
 
+/* Returns true if the revision of an answer of the store itself is below the
+ * position from which it was asked: the store came back from an older copy.
+ * All keys are then to be listed, and the list replaces the copy. */
+bool mirror_feed_rev_back(Feed *f, const KvPage *p);
+
+/* Merges a page of a list into the cache. */
+void mirror_feed_merge(Feed *f, const KvPage *p, int64_t now_us);
+
+/* Ends a list that replaces the copy. */
+void mirror_feed_replaced(Feed *f, int64_t now_us);
+
 /* Returns true if the revision of the answer of a watch, whose events are
  * applied, is above what they show, for the first time in a row.  The next
  * watch then shows whether an event was missing; a store that names a revision
--- a/src/view.c
+++ b/src/view.c
@@ -69,15 +69,17 @@
         return;
     }
     if (v->table != NULL && rt_version(t) <= rt_version(v->table)) {
-        if (rev != v->table_rev) {
-            dlog_event(v->o.log, DLOG_WARN, "config",
-                       "event=ignored version=%" PRIu64 " rev=%" PRIu64
-                       " by=%s in_force=%" PRIu64 " in_force_rev=%" PRIu64,
-                       rt_version(t), rev, source_name(v), current_version(v),
-                       v->table_rev);
+        if (rev == v->table_rev && rt_version(t) == rt_version(v->table)) {
+            rt_unref(t); /* listed again */
+            return;
         }
-        rt_unref(t);
-        return;
+        /* The cache of the store's keys orders by revision, so this is what
+         * the store holds, and what other VMs use. */
+        dlog_event(v->o.log, DLOG_WARN, "config",
+                   "event=version_back version=%" PRIu64 " rev=%" PRIu64
+                   " by=%s in_force=%" PRIu64 " in_force_rev=%" PRIu64,
+                   rt_version(t), rev, source_name(v), current_version(v),
+                   v->table_rev);
     }
     dlog_event(v->o.log, DLOG_INFO, "config",
                "event=in_force version=%" PRIu64 " before=%" PRIu64
--- a/tests/test_mirror_position.c
+++ b/tests/test_mirror_position.c
@@ -146,7 +146,52 @@
 }
 END_TEST
 
-/* Guards against the same when a list shows it. */
+/* Guards against a VM that lists without a pause as long as the watches of the
+ * store have a lower revision than its lists. */
+START_TEST(watches_below_the_list_do_not_repeat_calls)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, EVENTS("", "6")},
+        {FULL_LIST, 200,
+         LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "9")},
+        {"after=9&", 200, EVENTS("", "6")},
+        {FULL_LIST, 200,
+         LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "9")},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, 2000000);
+    ck_assert_int_ge(s.n_calls, 6);
+    ck_assert_int_gt(s.call_us[5] - s.call_us[4], PROPAGATION_US / 10);
+}
+END_TEST
+
+/* Guards against an old copy that brings an older configuration back. */
+START_TEST(old_copy_with_newest_revision_changes_no_newer_key)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, EVENTS(ITEM("op/config", "10"), "10")},
+        {"after=10&", 410, "{}"},
+        {"PathPrefix=op/", 200, LIST(ITEM("op/config", "10"), "12")},
+        {"Serializable=1", 200,
+         LIST(ITEM("op/config", "5") "," ITEM("servers/a",
+                                              "3") "," ITEM("servers/b", "4"),
+              "12")},
+        {NULL, 0, NULL},
+    };
+
+    run(&s, script, 2000000);
+    ck_assert_str_eq(s.at_end, "op/config servers/a servers/b ");
+    ck_assert_ptr_null(strstr(s.changes, "op/config@5"));
+}
+END_TEST
+
+/* Guards against a VM that holds what the store has lost, when a list shows
+ * it. */
 START_TEST(list_of_a_store_that_came_back_is_read_again)
 {
     Store s;
@@ -221,6 +266,8 @@
        watch_without_events_keeps_its_position,
        revision_without_events_does_not_repeat_calls,
        watch_of_a_store_that_came_back_is_replaced_by_its_list,
+       watches_below_the_list_do_not_repeat_calls,
+       old_copy_with_newest_revision_changes_no_newer_key,
        list_of_a_store_that_came_back_is_read_again,
        operator_list_of_a_store_that_came_back_is_replaced,
        gossip_during_a_watch_does_not_make_its_answer_old)
