Give no request to a part of weight 0 by rounding

Callers could see a request run by a part of a split that has weight 0, when that part is the last one: the weights are subtracted one after the other, and the rest of the largest hash can exceed the last weight by rounding. It then fell to the last part. Cause of nothing that was reported: about one hash in 1e16 is so large.

Parts of weight 0 are skipped, and what is left by rounding falls to the last part with a weight.

--- a/src/rt.c
+++ b/src/rt.c
@@ -174,13 +174,21 @@
 rt_choose_service(const RtTable *t, const RtRoute *r, uint64_t hash)
 {
     double at = hash_unit(hash) * r->weight_sum;
-    int i = 0;
+    int last = 0;
 
-    while (i < r->n_weighted - 1 && at >= r->weighted[i].weight) {
-        at -= r->weighted[i].weight;
-        i++;
+    for (int i = 0; i < r->n_weighted; i++) {
+        double weight = r->weighted[i].weight;
+        if (weight <= 0) {
+            continue;
+        }
+        last = i;
+        if (at < weight) {
+            break;
+        }
+        at -= weight;
     }
-    return rt_service(t, r->weighted[i].service);
+    /* The last one when the differences above were rounded up. */
+    return rt_service(t, r->weighted[last].service);
 }
 
 bool
--- a/tests/test_rt_versions.c
+++ b/tests/test_rt_versions.c
@@ -172,5 +172,38 @@
 }
 END_TEST
 
+/* Guards against a part of weight 0 that gets requests through the rounding of
+ * sums, at the ends of the range of hashes. */
+START_TEST(a_part_of_weight_0_gets_no_request_at_the_last_hash)
+{
+    guint32 end;
+
+    for (guint32 seed = first_seed(&end); seed < end; seed++) {
+        GRand *r = g_rand_new_with_seed(seed);
+        for (int i = 0; i < 2000; i++) {
+            RvVersion v;
+            rv_init(&v, r);
+            RvRoute *x = &v.route[0];
+            x->n_parts = RV_PARTS;
+            for (int k = 0; k < RV_PARTS; k++) {
+                x->service[k] = k;
+                x->weight[k] = k == RV_PARTS - 1 ? 0 : g_rand_double(r);
+            }
+            RtTable *t = parse(&v, r);
+            const RtRoute *got =
+                rt_match(t, str_of(rv_hosts[x->host]), str_of(x->prefix));
+            const RtService *low = rt_choose_service(t, got, 0);
+            const RtService *high = rt_choose_service(t, got, UINT64_MAX);
+            ck_assert_msg(rv_allows(x, atoi(low->name + 1)) &&
+                              rv_allows(x, atoi(high->name + 1)),
+                          "seed %u: %s, %s", seed, low->name, high->name);
+            rt_unref(t);
+        }
+        g_rand_free(r);
+    }
+}
+END_TEST
+
 T_MAIN("rt_versions", each_version_selects_the_longest_prefix_of_the_host,
-       the_shares_of_a_split_follow_its_weights)
+       the_shares_of_a_split_follow_its_weights,
+       a_part_of_weight_0_gets_no_request_at_the_last_hash)
