Do not write a request to an upstream that has changed its service

A caller's request could run at an upstream of a service to which its route does not send it, if discovery reported the upstream under the same id with another service while the connection was opened, which may take 400 ms. Not seen by users; found by reading. A start under the former id is allowed by their protocol, and an upstream that is named in the request accepts it.

Cause: the look at the upstream before the request is written compared its state and not its service. Now both are compared, and the attempt ends as one that was not sent.

--- a/src/pxtry.c
+++ b/src/pxtry.c
@@ -371,7 +371,7 @@
 {
     Px *p = r->p;
 
-    if (!ups_usable(p->o.upstreams, r->u)) {
+    if (!ups_usable(p->o.upstreams, r->u) || r->u->service != r->service->id) {
         attempt_ended(r, UP_NOT_SENT, now_us);
     }
     else if (r->n_delivered == 0 && (!pxreq_view_is_usable(p, now_us) ||
--- a/tests/test_px_routes.c
+++ b/tests/test_px_routes.c
@@ -323,6 +323,28 @@
 }
 END_TEST
 
+/* Guards against a request that is written to an upstream which discovery has
+ * reported as one of another service since the connection was begun. */
+START_TEST(a_request_is_not_written_to_an_upstream_of_another_service_now)
+{
+    World w;
+    int caller = ask_without_connection(&w);
+    UpsReport r = {.id = str_of("u-1"),
+                   .service = str_of("annex"),
+                   .zone = str_of("z"),
+                   .slots = SLOTS,
+                   .boot_ms = w.u->boot_ms};
+
+    memcpy(&r.addr, &w.u->addr, sizeof(r.addr));
+    ups_report(w.set, &r, evl_now(w.loop));
+    world_run(&w, SETTLE_US);
+    check_nothing_written(w.listener);
+    check_nothing_written(w.annex);
+    ck_assert_int_eq(world_status(caller), 503);
+    end(&w, caller, -1);
+}
+END_TEST
+
 /* Guards against connections that are given up at each change of the
  * configuration. */
 START_TEST(a_connection_is_used_if_the_route_has_not_changed)
@@ -428,6 +450,7 @@
        a_request_is_not_written_to_a_connection_of_the_old_service,
        a_request_is_not_written_to_a_connection_of_a_removed_route,
        a_request_is_not_written_while_the_view_is_waited_for,
+       a_request_is_not_written_to_an_upstream_of_another_service_now,
        a_connection_is_used_if_the_route_has_not_changed,
        a_request_that_found_no_connection_goes_to_the_newer_service,
        queued_requests_are_sent_by_the_ranks_of_the_newer_configuration,
