standin-link: a queue that keeps bytes of closed connections

The stand-in drops what it has buffered when a connection is closed, so a call that is given up costs the link nothing. The buffer of a router, in which the bytes of all connections wait in order, does not do that.

--queue BYTES puts one queue of that size in front of the rate. What is in it when its connection is closed still uses the rate. Without the option nothing changes.

--- a/standins/link.c
+++ b/standins/link.c
@@ -3,9 +3,13 @@
  * the platform's store.  Forwards TCP connections in both directions.
  *
  * usage: standin-link --listen IP:PORT --to IP:PORT [--rate BYTES_PER_S]
- *                     [--delay MS]
+ *                     [--delay MS] [--queue BYTES]
  *   --rate   bytes per second from the store to the VM, shared by all
  *            connections; 0, the default, for no limit
+ *   --queue  size of a queue in front of the rate, which all connections
+ *            share, as the buffer of a router.  What is in it when its
+ *            connection is closed still uses the rate.  0, the default, for
+ *            none
  *   --delay  one-way delay of each direction
  * SIGUSR1 cuts the link: connections are reset and new ones refused.  SIGHUP
  * resets them, too, and responds 429 to all further calls, as the store does
@@ -33,6 +37,13 @@
                               "Connection: close\r\n\r\n{}";
 
 typedef struct Link Link;
+typedef struct Conn Conn;
+
+/* Bytes in the queue of the link. */
+typedef struct Segment {
+    Conn *conn; /* NULL when it was closed */
+    GBytes *bytes;
+} Segment;
 
 /* Bytes that were received together. */
 typedef struct Chunk {
@@ -47,11 +58,12 @@
     GByteArray *data;
     GQueue *chunks; /* Chunk; the times at which data may be forwarded */
     bool limited;   /* by the rate of the link */
+    guint queued;   /* bytes in the queue of the link */
     bool ended;     /* the sender has closed */
     bool end_sent;
 } Pipe;
 
-typedef struct Conn {
+struct Conn {
     Link *link;
     Strm vm;
     Strm store;
@@ -59,7 +71,7 @@
     Pipe down; /* store to VM */
     bool closed;
     bool refused; /* calls are answered here */
-} Conn;
+};
 
 struct Link {
     Evl *loop;
@@ -69,10 +81,13 @@
     int64_t delay_us;
     int64_t credit_bytes; /* that may be forwarded now */
     int64_t credited_us;
-    GPtrArray *conns; /* Conn */
-    guint first;      /* connection whose turn it is */
-    EvlFd listener;   /* fd -1 while the link is cut */
-    bool refuses;     /* calls on new connections */
+    int64_t queue_max; /* bytes, 0: no queue */
+    int64_t queued;    /* bytes in the queue */
+    GQueue *queue;     /* Segment */
+    GPtrArray *conns;  /* Conn */
+    guint first;       /* connection whose turn it is */
+    EvlFd listener;    /* fd -1 while the link is cut */
+    bool refuses;      /* calls on new connections */
     EvlFd signals;
     EvlTimer tick;
 };
@@ -116,6 +131,18 @@
     }
 }
 
+/* Lets the bytes of a closed connection stay in the queue. */
+static void
+queue_leave(Link *l, const Conn *c)
+{
+    for (GList *i = l->queue->head; i != NULL; i = i->next) {
+        Segment *s = i->data;
+        if (s->conn == c) {
+            s->conn = NULL;
+        }
+    }
+}
+
 static void
 conn_close(Conn *c, bool reset)
 {
@@ -123,6 +150,7 @@
         return;
     }
     c->closed = true;
+    queue_leave(c->link, c);
     conn_end_stream(&c->vm, reset);
     conn_end_stream(&c->store, reset);
     g_ptr_array_remove(c->link->conns, c);
@@ -144,11 +172,64 @@
     strm_pause(p->from, p->data->len >= BUFFER_BYTES);
 }
 
+/* Takes n bytes from the credit.  Returns false if the rate does not allow it.
+ */
+static bool
+take_credit(Link *l, guint n)
+{
+    if (l->rate > 0) {
+        if (l->credit_bytes < n) {
+            return false;
+        }
+        l->credit_bytes -= n;
+    }
+    return true;
+}
+
+/* Forwards the first segment of the queue.  Returns false if there is none, or
+ * the rate allows no more. */
+static bool
+queue_forward(Link *l)
+{
+    Segment *s = g_queue_peek_head(l->queue);
+
+    if (s == NULL || !take_credit(l, (guint)g_bytes_get_size(s->bytes))) {
+        return false;
+    }
+    gsize n;
+    const void *data = g_bytes_get_data(s->bytes, &n);
+    l->queued -= (int64_t)n;
+    if (s->conn != NULL) {
+        s->conn->down.queued -= (guint)n;
+        strm_write(&s->conn->vm, data, n);
+    }
+    g_bytes_unref(s->bytes);
+    g_free(g_queue_pop_head(l->queue));
+    return true;
+}
+
+/* Returns false if the queue is full. */
+static bool
+queue_append(Link *l, Conn *c, guint n)
+{
+    if (l->queued + n > l->queue_max) {
+        return false;
+    }
+    Segment *s = g_new0(Segment, 1);
+    s->conn = c;
+    s->bytes = g_bytes_new(c->down.data->data, n);
+    g_queue_push_tail(l->queue, s);
+    l->queued += n;
+    c->down.queued += n;
+    return true;
+}
+
 /* Forwards at most PART_BYTES that are due.  Returns false if there are none,
- * or the receiver or the rate allows no more. */
+ * or the receiver, the queue or the rate allows no more. */
 static bool
-pipe_forward(Link *l, Pipe *p, int64_t now_us)
+pipe_forward(Conn *c, Pipe *p, int64_t now_us)
 {
+    Link *l = c->link;
     Chunk *k = g_queue_peek_head(p->chunks);
 
     if (k == NULL || k->due_us > now_us || p->to->connecting ||
@@ -156,13 +237,13 @@
         return false;
     }
     guint n = MIN(k->n_bytes, PART_BYTES);
-    if (p->limited && l->rate > 0) {
-        if (l->credit_bytes < n) {
-            return false;
-        }
-        l->credit_bytes -= n;
+    bool queues = p->limited && l->queue_max > 0;
+    if (queues ? !queue_append(l, c, n) : p->limited && !take_credit(l, n)) {
+        return false;
+    }
+    if (!queues) {
+        strm_write(p->to, p->data->data, n);
     }
-    strm_write(p->to, p->data->data, n);
     g_byte_array_remove_range(p->data, 0, n);
     k->n_bytes -= n;
     if (k->n_bytes == 0) {
@@ -175,8 +256,8 @@
 static void
 pipe_finish(Pipe *p)
 {
-    if (p->ended && !p->end_sent && p->data->len == 0 && !p->to->connecting &&
-        p->to->out->len == 0) {
+    if (p->ended && !p->end_sent && p->data->len == 0 && p->queued == 0 &&
+        !p->to->connecting && p->to->out->len == 0) {
         p->end_sent = true;
         strm_end_output(p->to);
     }
@@ -199,14 +280,16 @@
     bool more = true;
 
     add_credit(l, now_us);
+    while (l->conns->len == 0 && queue_forward(l)) {
+    }
     while (more && l->conns->len > 0) {
-        more = false;
+        more = queue_forward(l);
         guint n = l->conns->len;
         l->first = (l->first + 1) % n;
         for (guint i = 0; i < n; i++) {
             Conn *c = g_ptr_array_index(l->conns, (l->first + i) % n);
-            more = pipe_forward(l, &c->up, now_us) || more;
-            more = pipe_forward(l, &c->down, now_us) || more;
+            more = pipe_forward(c, &c->up, now_us) || more;
+            more = pipe_forward(c, &c->down, now_us) || more;
         }
     }
     for (guint i = l->conns->len; i-- > 0;) {
@@ -347,6 +430,12 @@
         l->listener.fd = -1;
     }
     reset_connections(l);
+    while (!g_queue_is_empty(l->queue)) {
+        Segment *s = g_queue_pop_head(l->queue);
+        g_bytes_unref(s->bytes);
+        g_free(s);
+    }
+    l->queued = 0;
 }
 
 static void
@@ -407,9 +496,10 @@
         {"to", required_argument, NULL, 't'},
         {"rate", required_argument, NULL, 'r'},
         {"delay", required_argument, NULL, 'd'},
+        {"queue", required_argument, NULL, 'q'},
         {NULL, 0, NULL, 0},
     };
-    Link l = {.conns = g_ptr_array_new()};
+    Link l = {.conns = g_ptr_array_new(), .queue = g_queue_new()};
     int64_t delay_ms = 0;
     bool ok = true;
     int c;
@@ -419,11 +509,12 @@
              ((c == 'l' && strm_parse_addr(str_of(optarg), &l.listen_addr)) ||
               (c == 't' && strm_parse_addr(str_of(optarg), &l.to_addr)) ||
               (c == 'r' && parse_number(optarg, &l.rate)) ||
-              (c == 'd' && parse_number(optarg, &delay_ms)));
+              (c == 'd' && parse_number(optarg, &delay_ms)) ||
+              (c == 'q' && parse_number(optarg, &l.queue_max)));
     }
     if (!ok || l.listen_addr.sin_port == 0 || l.to_addr.sin_port == 0) {
         fputs("usage: standin-link --listen IP:PORT --to IP:PORT "
-              "[--rate BYTES_PER_S] [--delay MS]\n",
+              "[--rate BYTES_PER_S] [--delay MS] [--queue BYTES]\n",
               stderr);
         return 2;
     }
