Wait for what this VM has put on the way itself

Cause: a watch that is too large by its length is given up after its head, and up to 128 KB of it still hold the link. The list that follows, and the renewals of the lease, were given up after 1 s without a byte, which adds their own answers to the queue. The limit until an answer begins took the link for empty.

The connections to the store now share a count of the bytes that are on the way: the rest of answers that were given up or are being received, by their Content-Length, at most 128 KB. The limit until an answer begins counts from the time at which they have passed on the slowest link that is supported (60 kB/s), so it is at most 2.2 s longer. An answer to a later call shows that they have passed. A call that had to wait so and got no byte counts as 128 KB again, for a longer queue than is assumed, unless the store has sent nothing for 5 s. A store that does not answer is given up after 1 s as before when nothing is on the way.

--- a/src/kv.c
+++ b/src/kv.c
@@ -3,7 +3,6 @@
 
 #include "h1.h"
 #include "strm.h"
-#include "xferlimit.h"
 
 #define UNACKED_MS 1000 /* see strm_connect() */
 /* Limit for a new connection, which takes one round trip: about 110 ms between
@@ -21,7 +20,9 @@
     GString *request; /* of the last call */
     EvlTimer timer;
     XferLimit limit;
-    size_t bytes_max; /* of the body of an answer */
+    XferBacklog *backlog;
+    XferBacklog own_backlog; /* unless another is shared */
+    size_t bytes_max;        /* of the body of an answer */
     guint unparsed; /* bytes of the answer that arrived before and are not read
                      */
     int64_t calls;  /* started so far */
@@ -64,6 +65,25 @@
     }
 }
 
+/* Bytes of the answer that are still to come, -1: not known. */
+static int64_t
+left_bytes(const KvConn *c)
+{
+    return c->answer.length < 0
+               ? -1
+               : c->answer.length - (int64_t)c->answer.body->len;
+}
+
+/* Records that the rest of an answer is not read, and is on the way. */
+static void
+give_up_answer(KvConn *c)
+{
+    if (c->limit.last_us != 0) {
+        xferlimit_backlog_given_up(c->backlog, left_bytes(c),
+                                   evl_now(c->loop));
+    }
+}
+
 static void
 finish(KvConn *c, int status)
 {
@@ -115,6 +135,9 @@
                        evl_now(c->loop));
     H1State st = h1_feed_final(&c->answer, c->strm.in, HEAD_MAX, &e);
     c->unparsed = c->strm.in->len;
+    xferlimit_backlog_received(c->backlog, c->limit.start_us,
+                               st == H1_BODY ? left_bytes(c) : 0,
+                               evl_now(c->loop));
     if (st == H1_DONE) {
         finish(c, (int)c->answer.parser.status_code);
     }
@@ -124,6 +147,7 @@
     }
     else if (c->answer.length > (int64_t)c->bytes_max ||
              c->answer.body->len > c->bytes_max) {
+        give_up_answer(c);
         finish(c, KV_TOO_LARGE);
     }
     else {
@@ -167,6 +191,14 @@
         if (c->done == NULL || c->calls != call || c->limit.end_us > now_us) {
             return;
         }
+        xferlimit_extend(&c->limit, c->backlog);
+        if (c->limit.end_us > now_us) {
+            evl_arm(c->loop, &c->timer, c->limit.end_us);
+            return;
+        }
+        if (c->limit.last_us == 0) {
+            xferlimit_backlog_silent(c->backlog, &c->limit, now_us);
+        }
     }
     fail(c);
 }
@@ -190,11 +222,18 @@
     c->log = log;
     c->at = *at;
     c->bytes_max = KV_ANSWER_BYTES_MAX;
+    c->backlog = &c->own_backlog;
     h1_init(&c->answer, false);
     c->timer = (EvlTimer){.fn = on_timeout, .ctx = c};
     return c;
 }
 
+void
+kv_share_backlog(KvConn *c, XferBacklog *b)
+{
+    c->backlog = b == NULL ? &c->own_backlog : b;
+}
+
 void
 kv_on_begin(KvConn *c, KvBegin fn, void *ctx)
 {
@@ -223,6 +262,7 @@
         void *ctx)
 {
     int64_t now_us = evl_now(c->loop);
+    int64_t backlog_us = xferlimit_backlog_us(c->backlog, now_us);
 
     c->done = done;
     c->ctx = ctx;
@@ -230,19 +270,21 @@
     c->unparsed = 0;
     c->begun = false;
     xferlimit_start(&c->limit, timeout_us, now_us);
+    xferlimit_extend(&c->limit, c->backlog);
     h1_next(&c->answer);
     set_request(c, request);
     if (!c->open) {
         c->open =
             strm_connect(&c->strm, c->loop, (const struct sockaddr *)&c->at,
-                         UNACKED_MS, on_stream, c);
+                         UNACKED_MS + (int)(backlog_us / 1000), on_stream, c);
         c->strm.ev.first = c->open;
     }
     if (!c->open) {
         evl_arm(c->loop, &c->timer, now_us);
     }
     else if (c->strm.connecting) {
-        evl_arm(c->loop, &c->timer, MIN(c->limit.end_us, now_us + CONNECT_US));
+        evl_arm(c->loop, &c->timer,
+                MIN(c->limit.end_us, now_us + backlog_us + CONNECT_US));
     }
     else {
         evl_arm(c->loop, &c->timer, c->limit.end_us);
@@ -254,6 +296,7 @@
 kv_cancel(KvConn *c)
 {
     if (c->done != NULL) {
+        give_up_answer(c);
         c->done = NULL;
         evl_disarm(c->loop, &c->timer);
         kv_disconnect(c);
--- a/src/kv.h
+++ b/src/kv.h
@@ -19,6 +19,7 @@
 #include "evl.h"
 #include "limits.h"
 #include "str.h"
+#include "xferlimit.h"
 
 #define KV_BASE64_BYTES(n) ((n) / 3 * 4 + 4)
 /* A page is complete with the item that exceeds its bytes.  Its size is given
@@ -84,11 +85,16 @@
 /* log: of malformed answers, which count as none; may be NULL. */
 KvConn *kv_new(Evl *loop, const struct sockaddr_in *at, Dlog *log);
 void kv_free(KvConn *c);
+
+/* Lets connections to the same store know of each other's answers.  The
+ * backlog is borrowed.  NULL: the connection has its own. */
+void kv_share_backlog(KvConn *c, XferBacklog *b);
 bool kv_busy(const KvConn *c);
 
 /* Starts a call and takes ownership of the request.  The connection must not
- * be busy.  timeout_us: until the answer begins, and then without progress;
- * see xferlimit.h.  A new connection gets only part of the time: a packet that
+ * be busy.  timeout_us: until the answer begins, longer while
+ * bytes of other answers are on the way, and then without progress; see
+ * xferlimit.h.  A new connection gets only part of the time: a packet that
  * opens it and is lost is sent again after a second, a further attempt sooner.
  */
 void kv_call(KvConn *c, GString *request, int64_t timeout_us, KvDone done,
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -514,7 +514,8 @@
     while (o->prefixes[m->n_feeds] != NULL) {
         m->n_feeds++;
     }
-    RegistrationOpts ro = {o->loop, o->log, o->codec, o->store, o->rnd};
+    RegistrationOpts ro = {o->loop,  o->log, o->codec,
+                           o->store, o->rnd, &m->backlog};
     m->registration = registration_new(&ro);
     m->feeds = g_new0(Feed, m->n_feeds);
     for (int i = 0; i < m->n_feeds; i++) {
@@ -522,6 +523,7 @@
         f->m = m;
         f->prefix = o->prefixes[i];
         f->conn = kv_new(o->loop, &o->store, o->log);
+        kv_share_backlog(f->conn, &m->backlog);
         kv_on_begin(f->conn, on_begin, f);
         f->cache = kvcache_new(on_key, f);
         f->pages = (KvPages){o->codec, o->log, f->prefix, 0};
@@ -529,6 +531,7 @@
                          .log = o->log,
                          .pages = &f->pages,
                          .store = o->store,
+                         .backlog = &m->backlog,
                          .rnd = o->rnd,
                          .prefix = f->prefix,
                          .propagation_us = o->propagation_us,
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -62,6 +62,7 @@
 struct Mirror {
     MirrorOpts o;
     Feed *feeds;
+    XferBacklog backlog; /* of all connections to the store */
     int n_feeds;
     bool ready;
     bool behind;      /* MirrorFns.behind was called, and neither "current" nor
--- a/src/registration.c
+++ b/src/registration.c
@@ -169,6 +169,7 @@
 
     r->o = *o;
     r->conn = kv_new(o->loop, &o->store, o->log);
+    kv_share_backlog(r->conn, o->backlog);
     r->timer = (EvlTimer){.fn = on_timer, .ctx = r};
     return r;
 }
--- a/src/registration.h
+++ b/src/registration.h
@@ -18,6 +18,7 @@
     const KvCodec *codec;
     struct sockaddr_in store;
     GRand *rnd;
+    XferBacklog *backlog; /* see kv_share_backlog() */
 } RegistrationOpts;
 
 typedef struct Registration Registration;
--- a/src/resync.c
+++ b/src/resync.c
@@ -140,6 +140,7 @@
 
     g->o = *o;
     g->conn = kv_new(o->loop, &o->store, o->log);
+    kv_share_backlog(g->conn, o->backlog);
     g->timer = (EvlTimer){.fn = on_timer, .ctx = g};
     return g;
 }
--- a/src/resync.h
+++ b/src/resync.h
@@ -24,6 +24,7 @@
     Dlog *log;
     KvPages *pages; /* borrowed */
     struct sockaddr_in store;
+    XferBacklog *backlog; /* see kv_share_backlog() */
     GRand *rnd;
     const char *prefix;
     int64_t propagation_us; /* longest time for a change to reach this VM */
--- a/tests/lib/link_lib.sh
+++ b/tests/lib/link_lib.sh
@@ -138,14 +138,18 @@
     check "$1" "$(count old 0 50)" 3
 }
 
-# change_while_cut VERSIONS RATE: cuts the link for 5 s, during which that many
-# configurations are stored, the second half of them with the change, and asks
-# for 10 s from the time at which it is open again, with RATE bytes per second.
+# change_while_cut VERSIONS RATE [LINK_OPTION...]: cuts the link for 5 s, during
+# which that many configurations are stored, the second half of them with the
+# change, and asks for 10 s from the time at which it is open again, with RATE
+# bytes per second.
 change_while_cut() {
+    versions=$1
+    rate=$2
+    shift 2
     kill -USR1 "$link_pid"
     cut_ms=$(now_ms)
-    for i in $(seq "$1"); do
-        if [ "$i" -gt $(($1 / 2)) ]; then
+    for i in $(seq "$versions"); do
+        if [ "$i" -gt $((versions / 2)) ]; then
             config_after $((3 + i))
         else
             config_before $((3 + i))
@@ -155,7 +159,8 @@
     while [ $(($(now_ms) - cut_ms)) -lt 5000 ]; do
         sleep 0.05
     done
-    start_link --rate "$2"
+    start_link --rate "$rate" "$@"
+    log_lines=$(wc -l <"$dir/vm1.log")
     begin_asking
     ask_changed 10000
     print_counts link_back 0 3000
--- a/tests/test_kv_slow.c
+++ b/tests/test_kv_slow.c
@@ -18,6 +18,7 @@
 #define ENDLESS_BYTES 500000 /* of a piece of an answer without end */
 #define ENDLESS_US 1000
 #define TOO_LARGE_BYTES 100000000
+#define LEFT_BYTES (XFERLIMIT_LINK_RATE / 2)
 #define TRICKLE_US 5000 /* between single bytes */
 #define ENDLESS_PIECES 100000
 #define GIVE_UP_US 10000000
@@ -382,6 +383,57 @@
 }
 END_TEST
 
+/* Ends the connection of the last call, as the store's side. */
+static void
+hang_up(World *w)
+{
+    close(w->sender.fd);
+    w->sender.fd = -1;
+}
+
+/* Guards against a call that is given up, again and again, while the rest of
+ * an answer that was given up holds the link, and against one that waits for
+ * more than that. */
+START_TEST(a_call_waits_for_the_rest_of_an_answer_that_was_given_up)
+{
+    World w;
+    int64_t left_us = INT64_C(1000000) * LEFT_BYTES / XFERLIMIT_LINK_RATE;
+
+    setup(&w);
+    kv_limit_answer(w.conn, LEFT_BYTES - 1);
+    call(&w);
+    send_length(&w, LEFT_BYTES);
+    run_for(&w, GIVE_UP_US);
+    ck_assert_int_eq(w.status, KV_TOO_LARGE);
+    hang_up(&w);
+    call(&w);
+    run_for(&w, GIVE_UP_US);
+    ck_assert_int_eq(w.status, KV_NO_ANSWER);
+    ck_assert_int_gt(w.ended_us - w.called_us, left_us);
+    ck_assert_int_lt(w.ended_us - w.called_us, left_us + 5 * LIMIT_US);
+    teardown(&w);
+}
+END_TEST
+
+/* Guards against a call that is given up while another answer to the same VM
+ * holds the link. */
+START_TEST(a_call_waits_while_another_answer_arrives)
+{
+    World w;
+    XferBacklog b = {0};
+
+    setup(&w);
+    kv_share_backlog(w.conn, &b);
+    call(&w);
+    /* What another connection received, after the call began. */
+    xferlimit_backlog_received(&b, w.called_us, LEFT_BYTES, evl_now(w.loop));
+    run_for(&w, GIVE_UP_US);
+    ck_assert_int_eq(w.status, KV_NO_ANSWER);
+    ck_assert_int_gt(w.ended_us - w.called_us, 2 * LIMIT_US);
+    teardown(&w);
+}
+END_TEST
+
 T_MAIN("kv_slow", an_answer_that_arrives_steadily_is_delivered,
        no_answer_fails_at_the_limit, an_answer_that_stops_fails_a_limit_later,
        an_answer_below_the_minimum_rate_fails,
@@ -389,4 +441,6 @@
        an_answer_is_too_large_by_its_length, an_answer_cut_off_midway_fails,
        an_answer_that_waits_in_the_socket_is_in_time,
        an_answer_that_arrives_while_timers_run_is_in_time,
-       a_late_process_does_not_fail_a_transfer)
+       a_late_process_does_not_fail_a_transfer,
+       a_call_waits_for_the_rest_of_an_answer_that_was_given_up,
+       a_call_waits_while_another_answer_arrives)
--- a/tests/test_registration.c
+++ b/tests/test_registration.c
@@ -116,7 +116,7 @@
     s->rnd = g_rand_new_with_seed(1);
     s->answer = (EvlTimer){.fn = on_answer, .ctx = s};
     stub_open(&s->stub, s->loop, on_request, s);
-    RegistrationOpts o = {s->loop, s->log, &pf_kv, s->stub.at, s->rnd};
+    RegistrationOpts o = {s->loop, s->log, &pf_kv, s->stub.at, s->rnd, NULL};
     s->reg = registration_new(&o);
     registration_set(s->reg, KEY, "leaving=0");
 }
