Renew the lease by the time of the last renewal

What callers saw: nothing measured. The entry of a VM, by which others count it, could end although the store answered each call.

Cause: the pause until the next renewal began with the answer to any call. An answer that takes long, as on a slow link whose queue is full (up to 3.2 s now), delays the renewal by its time, and each write of a changed entry by the whole pause. The lease lasts 4 s; with 2.1 s for the longest pause and 2.2 s for an answer it ends.

The pause now counts from the start of the last renewal, and that after a failed call from the start of the call when it took longer than 1 s.

--- a/src/registration.c
+++ b/src/registration.c
@@ -40,22 +40,35 @@
             evl_now(r->o.loop) + (int64_t)((double)us * jitter));
 }
 
+/* Time since a call began. */
+static int64_t
+since(int64_t called_us)
+{
+    return evl_boottime() - called_us;
+}
+
 static void
 call_failed(Registration *r, const char *what, int status)
 {
     dlog_event(r->o.log, DLOG_INFO, "store",
                "event=call_failed key=%s call=%s status=%d", r->key, what,
                status);
-    schedule_call(r, status == KV_NOT_SENT ? RECONNECT_US : RETRY_US);
+    if (status == KV_NOT_SENT) {
+        schedule_call(r, RECONNECT_US);
+        return;
+    }
+    /* A call that took longer than usual leaves less time of the lease. */
+    schedule_call(r, CLAMP(CALL_TIMEOUT_US + RETRY_US - since(r->called_us),
+                           RECONNECT_US, RETRY_US));
 }
 
 /* After a successful call: writes a value that was set meanwhile, or waits for
- * the time of the renewal. */
+ * the time of the renewal, which counts from the last one. */
 static void
 continue_registration(Registration *r)
 {
     if (r->written) {
-        schedule_call(r, LEASE_KEEP_US);
+        schedule_call(r, MAX(LEASE_KEEP_US - since(r->renewed_us), 0));
     }
     else {
         next_call(r);
--- a/tests/test_registration.c
+++ b/tests/test_registration.c
@@ -15,6 +15,10 @@
 #define RUN_US (2500 * MS)
 /* A value that is set during a call is written with the next one. */
 #define CHANGED_US (400 * MS)
+#define SLOW_US (900 * MS)      /* less than the limit of a call */
+#define RENEWALS_US (6600 * MS) /* of at least two renewals */
+/* Between two renewals: 1.6 s, up to 30 % more, and time of the machine. */
+#define INTERVAL_MAX_US (2300 * MS)
 #define CONNS_MAX 8
 #define KEY "vm/vm-1"
 #define LEASE "{\"Lease\":7,\"Ttl_time\":\"4000ms\"}"
@@ -30,8 +34,12 @@
     /* The next write gets a copy of the answer that granted the lease, and is
      * refused. */
     bool copies;
-    bool renewing;    /* a renewal was called */
-    char written[32]; /* by the call that is answered next; "": none */
+    bool renewing;      /* a renewal was called */
+    int64_t slow_us;    /* time after which renewals are answered; 0: ANSWER_US
+                         */
+    int64_t renewal_us; /* when the last renewal arrived, or 0 */
+    int64_t interval_us; /* longest time between two renewals */
+    char written[32];    /* by the call that is answered next; "": none */
     char value[32];
     Registration *reg;
     GRand *rnd;
@@ -65,6 +73,15 @@
     stub_respond(s->caller, s->status, s->body);
 }
 
+static void
+count_interval(Store *s, int64_t now_us)
+{
+    if (s->renewal_us != 0) {
+        s->interval_us = MAX(s->interval_us, now_us - s->renewal_us);
+    }
+    s->renewal_us = now_us;
+}
+
 static void
 on_request(void *ctx, StubConn *c)
 {
@@ -87,7 +104,11 @@
         s->body = "{\"Succeeded\":true,\"Rev\":9}";
         read_value(s, c);
     }
-    evl_arm(s->loop, &s->answer, evl_now(s->loop) + ANSWER_US);
+    int64_t answer_us = s->slow_us > 0 && s->renewing ? s->slow_us : ANSWER_US;
+    evl_arm(s->loop, &s->answer, evl_now(s->loop) + answer_us);
+    if (s->renewing) {
+        count_interval(s, evl_now(s->loop));
+    }
 }
 
 static void
@@ -180,6 +201,39 @@
 }
 END_TEST
 
+/* Guards against a lease that ends although each renewal succeeds: on a slow
+ * link the answers take as long as the time between two renewals. */
+START_TEST(the_time_of_an_answer_does_not_delay_the_next_renewal)
+{
+    Store s = {.slow_us = SLOW_US};
+
+    start(&s);
+    run_for(&s, RENEWALS_US);
+    ck_assert_int_gt(s.interval_us, 0);
+    ck_assert_int_lt(s.interval_us, INTERVAL_MAX_US);
+    clear(&s);
+}
+END_TEST
+
+/* Guards against a lease that ends because the entry changes before each
+ * renewal, and each write delays it. */
+START_TEST(writes_do_not_delay_a_renewal)
+{
+    Store s = {0};
+
+    start(&s);
+    for (int i = 0; i < 6; i++) {
+        run_for(&s, RENEWALS_US / 6);
+        registration_set(s.reg, KEY, "leaving=1");
+    }
+    ck_assert_int_gt(s.interval_us, 0);
+    ck_assert_int_lt(s.interval_us, INTERVAL_MAX_US);
+    clear(&s);
+}
+END_TEST
+
 T_MAIN("registration", a_copy_of_the_answer_before_does_not_confirm_a_write,
        a_value_that_is_set_during_a_write_is_written,
-       a_value_that_is_set_during_a_renewal_is_written_at_once)
+       a_value_that_is_set_during_a_renewal_is_written_at_once,
+       the_time_of_an_answer_does_not_delay_the_next_renewal,
+       writes_do_not_delay_a_renewal)
