Keep an answer that arrives while the process is stalled

On a processor that stalls often a VM may not receive a large configuration: mirror_revalidate() cancels the watch after each stall of over 1 s, and its answer starts from nothing.

An answer of which bytes wait in the socket is now read on. It may be older than the stall, so it does not make the copy current: the store is asked again at once behind it. When nothing has arrived, the call is cancelled as before, as the connection may be dead.

--- a/src/kv.c
+++ b/src/kv.c
@@ -303,6 +303,12 @@
     }
 }
 
+bool
+kv_unread(const KvConn *c)
+{
+    return c->done != NULL && c->open && strm_unread(&c->strm) > 0;
+}
+
 size_t
 kv_received(const KvConn *c)
 {
--- a/src/kv.h
+++ b/src/kv.h
@@ -121,6 +121,10 @@
 /* Cancels the call under way; its callback is not called. */
 void kv_cancel(KvConn *c);
 
+/* True if the answer to the call under way has arrived in part, or whole, and
+ * is not read. */
+bool kv_unread(const KvConn *c);
+
 /* Bytes of the body that have arrived, of the call under way or the last one;
  * also of an answer that was given up. */
 size_t kv_received(const KvConn *c);
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -405,7 +405,8 @@
     mirror_feed_apply(f, &p, now_us);
     guint n = (guint)p.n_sent;
     kv_page_clear(&p);
-    if (f->confirming && n >= CONFIRM_EVENTS) {
+    if ((f->confirming && n >= CONFIRM_EVENTS) ||
+        (f->again && n < BEHIND_EVENTS)) {
         feed_watch(f);
         return;
     }
@@ -439,6 +440,7 @@
                                                mirror_feed_watched_age_us(f));
     int wait_ms = MAX((int)(wait_us / 1000), CONFIRM_WAIT_MS);
 
+    f->again = false;
     f->watch_start_us = evl_boottime();
     f->watch_wait_us = wait_ms * INT64_C(1000);
     evl_arm(f->m->o.loop, &f->wait_end,
@@ -483,11 +485,16 @@
         if (!f->listed || f->listing || f->relist || f->urgent_pending) {
             continue;
         }
-        /* An answer already in the socket may be as old as the copy. */
+        /* An answer already in the socket may be as old as the copy, but is
+         * not dropped: it may be large, and the next stall be near. */
+        f->checking = true;
+        f->again = kv_unread(f->conn);
+        if (f->again) {
+            continue;
+        }
         kv_cancel(f->conn);
         evl_disarm(m->o.loop, &f->timer);
         f->pausing = false;
-        f->checking = true;
         feed_watch(f);
     }
 }
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -27,6 +27,8 @@
     bool confirming; /* a watch fetches what a stale list lacks */
     bool checking;   /* a watch that returns at once checks whether the copy
                         is current, see mirror_revalidate() */
+    bool again;      /* the watch under way began before the copy was to be
+                        checked */
     bool listed;     /* a list was completed at least once */
     char *after;     /* last key of the previous page */
     bool relist;     /* list again: keys missing or events unreadable */
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -76,6 +76,7 @@
     EvlTimer drip;     /* while the rest of the cut answer is sent */
     size_t drip_bytes; /* sent at a time; 0: the rest is not sent */
     StubConn *dripping;
+    bool stalls; /* the process is taken for stalled while a part arrives */
     unsigned conns_max; /* 0: CONNS_MAX */
     int64_t announced_age_us;
     char announced[256]; /* keys that were announced to other VMs */
@@ -129,6 +130,9 @@
     if (s->dripping->strm.open && n > 0) {
         strm_write(&s->dripping->strm, s->cut->body + len - s->withheld, n);
         s->withheld -= n;
+        if (s->stalls) {
+            mirror_revalidate(s->mirror);
+        }
         evl_arm(s->loop, &s->drip, now_us + DRIP_US);
     }
 }
--- a/tests/test_mirror_versions.c
+++ b/tests/test_mirror_versions.c
@@ -198,6 +198,35 @@
 }
 END_TEST
 
+/* Guards against a VM on a slow processor that drops, after each stall, the
+ * answer that brings the newest configuration, and never receives it whole;
+ * and against one that takes that answer, which is older than the stall, for
+ * current. */
+START_TEST(an_answer_that_arrives_during_stalls_is_received)
+{
+    Store s = {0};
+    char *body = versions(1);
+    const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, body},
+        {"after=10&WaitMs=1", 200, EVENTS("", "10")},
+        {NULL, 0, NULL},
+    };
+
+    s.cut = &script[FIRST];
+    s.withheld = VALUE_BYTES;
+    s.drip_bytes = VALUE_BYTES / 10;
+    s.stalls = true;
+    run_store(&s, script, PROPAGATION_US);
+    ck_assert_str_eq(s.at_end, "op/config servers/a servers/b ");
+    /* Requests wait until the second watch has confirmed the copy. */
+    ck_assert_msg(g_str_has_suffix(s.currents, "|4:op/config servers/a "
+                                               "servers/b |"),
+                  "current: %s", s.currents);
+    g_free(body);
+}
+END_TEST
+
 #define ROUND                                                                 \
     {"after=9&", 200, body},                                                  \
     {                                                                         \
@@ -246,4 +275,5 @@
        gossip_ends_the_time_in_which_changes_are_missed,
        a_watch_during_a_resync_makes_the_urgent_keys_current,
        changes_are_missed_when_the_copy_grows_old_during_an_answer,
+       an_answer_that_arrives_during_stalls_is_received,
        large_watches_do_not_keep_a_resync_from_its_end)
