--- a/src/mirror.c
+++ b/src/mirror.c
@@ -425,7 +425,8 @@
     bool complete = mirror_feed_apply(f, &p, now_us);
     guint n = (guint)p.n_sent;
     kv_page_clear(&p);
-    if (!complete || (f->confirming && n >= CONFIRM_EVENTS)) {
+    if (!complete || (f->confirming && n >= CONFIRM_EVENTS) ||
+        (f->again && n < BEHIND_EVENTS)) {
         feed_watch(f);
         return;
     }
@@ -460,6 +461,7 @@
     int wait_ms = MAX((int)(wait_us / 1000), CONFIRM_WAIT_MS);
 
     f->asked_rev = kvcache_rev(f->cache);
+    f->again = false;
     f->watch_start_us = evl_boottime();
     f->watch_wait_us = wait_ms * INT64_C(1000);
     evl_arm(f->m->o.loop, &f->wait_end,
@@ -504,11 +506,16 @@
         if (!f->listed || f->listing || f->relist || f->urgent_pending) {
             continue;
         }
-        /* An answer already in the socket may be as old as the copy. */
+        /* An answer already in the socket may be as old as the copy, but is
+         * not dropped: it may be large, and the next stall be near. */
+        f->checking = true;
+        f->again = kv_unread(f->conn);
+        if (f->again) {
+            continue;
+        }
         kv_cancel(f->conn);
         evl_disarm(m->o.loop, &f->timer);
         f->pausing = false;
-        f->checking = true;
         feed_watch(f);
     }
 }
@@ -535,7 +542,8 @@
     while (o->prefixes[m->n_feeds] != NULL) {
         m->n_feeds++;
     }
-    RegistrationOpts ro = {o->loop, o->log, o->codec, o->store, o->rnd};
+    RegistrationOpts ro = {o->loop,  o->log, o->codec,
+                           o->store, o->rnd, &m->backlog};
     m->registration = registration_new(&ro);
     m->feeds = g_new0(Feed, m->n_feeds);
     for (int i = 0; i < m->n_feeds; i++) {
@@ -543,6 +551,7 @@
         f->m = m;
         f->prefix = o->prefixes[i];
         f->conn = kv_new(o->loop, &o->store, o->log);
+        kv_share_backlog(f->conn, &m->backlog);
         kv_on_begin(f->conn, on_begin, f);
         f->cache = kvcache_new(on_key, f);
         f->pages = (KvPages){o->codec, o->log, f->prefix, 0};
@@ -550,6 +559,7 @@
                          .log = o->log,
                          .pages = &f->pages,
                          .store = o->store,
+                         .backlog = &m->backlog,
                          .rnd = o->rnd,
                          .prefix = f->prefix,
                          .propagation_us = o->propagation_us,
