--- a/standins/peer.c
+++ b/standins/peer.c
@@ -2,9 +2,9 @@
  * standin-peer - test stand-in for another entry VM: sends one gossip message,
  * or prints those that it receives.
  *
- *   standin-peer --to IP:PORT REV AGE_MS
- *       says that nothing has changed in the store since revision REV, by an
- *       answer of the store that is so old
+ *   standin-peer --to IP:PORT REV AGE_MS [TO]
+ *       says that nothing has changed in the store from revision REV to
+ *       revision TO (default: REV), by an answer of the store that is so old
  *   standin-peer --listen IP:PORT
  *       prints "from=REV to=REV fragments=0|1 keys=KEY,..." for each message,
  *       until it is ended
@@ -23,11 +23,12 @@
 #define AGE_MS_MAX 60000
 
 static int
-send_unchanged(int fd, const struct sockaddr_in *to, uint64_t rev,
-               uint64_t age_ms)
+send_unchanged(int fd, const struct sockaddr_in *to, uint64_t from_rev,
+               uint64_t to_rev, uint64_t age_ms)
 {
-    GossipOut o = {
-        .from = rev, .to = rev, .age_us = (int64_t)age_ms * INT64_C(1000)};
+    GossipOut o = {.from = from_rev,
+                   .to = to_rev,
+                   .age_us = (int64_t)age_ms * INT64_C(1000)};
     char buf[GOSSIP_BYTES_MAX];
     size_t n = gossip_encode(&o, buf, sizeof(buf));
 
@@ -78,20 +79,23 @@
     struct sockaddr_in at;
     uint64_t rev = 0;
     uint64_t age_ms = 0;
-    bool sends = argc == 5 && strcmp(argv[1], "--to") == 0 &&
-                 str_u64(str_of(argv[3]), UINT64_MAX, &rev) &&
-                 str_u64(str_of(argv[4]), AGE_MS_MAX, &age_ms);
+    uint64_t to_rev = 0;
+    bool sends =
+        (argc == 5 || argc == 6) && strcmp(argv[1], "--to") == 0 &&
+        str_u64(str_of(argv[3]), UINT64_MAX, &rev) &&
+        str_u64(str_of(argv[argc == 6 ? 5 : 3]), UINT64_MAX, &to_rev) &&
+        str_u64(str_of(argv[4]), AGE_MS_MAX, &age_ms);
     bool listens = argc == 3 && strcmp(argv[1], "--listen") == 0;
 
     if ((!sends && !listens) || !strm_parse_addr(str_of(argv[2]), &at)) {
-        fputs("usage: standin-peer --to IP:PORT REV AGE_MS | --listen "
+        fputs("usage: standin-peer --to IP:PORT REV AGE_MS [TO] | --listen "
               "IP:PORT\n",
               stderr);
         return 2;
     }
     int fd = socket(AF_INET, SOCK_DGRAM, 0);
     if (sends) {
-        return send_unchanged(fd, &at, rev, age_ms);
+        return send_unchanged(fd, &at, rev, to_rev, age_ms);
     }
     if (bind(fd, (const struct sockaddr *)&at, sizeof(at)) != 0) {
         perror("standin-peer: bind");
