Compare the configuration in force with that of other VMs

Cause: a VM whose watch answers "nothing new" believes it, whatever its position; nothing compares its configuration with that of other VMs. Change: heartbeats (format 3) carry the revision and the version in force. A VM that hears of a revision above all it has received for 0.35 of the propagation time (heard) lists the operator's keys from the store (mirror_heard); requests wait 0.4 s at most. If the list holds what the copy counted as known, or the position is above the store's revision, the watch continues from the list and a resync finds the rest; else the position stays. A revision that the store does not confirm is refuted: one call for each sender and revision, at most one in the propagation time. event=late has heard_ms. Why it works: what another VM has in force came from the store, so a list of the store, which is not a copy, holds it or something newer. A heartbeat without services grows from 76 to 88 bytes, a full one from 1,228 to 1,240 (16 bytes more, 4 of an unused list less).

--- a/src/edge.c
+++ b/src/edge.c
@@ -119,32 +119,6 @@
     g_free(listed);
 }
 
-/* A change that this VM learns of now was made after its copy of the store was
- * last known to be current.  Requests handled since then, later than the time
- * limit for changes allows, may have used an older configuration. */
-static void
-log_late_routes(const Edge *g, const RtTable *t)
-{
-    int64_t now_us = evl_now(g->loop);
-    int64_t confirmed_us = px_confirmed(g->px);
-    const RtTable *before = px_routes(g->px);
-
-    if (before == NULL || confirmed_us == 0 ||
-        now_us - confirmed_us <= g->set.config_us) {
-        return;
-    }
-    GString *ids = g_string_new(NULL);
-    int n = px_requests_since(g->px, confirmed_us + g->set.config_us, ids);
-    dlog_event(g->log, DLOG_WARN, "config",
-               "event=late version=%" PRIu64 " before=%" PRIu64
-               " by=%s copy_age_ms=%" PRId64 " uptime_ms=%" PRId64
-               " requests=%d ids=%s",
-               rt_version(t), rt_version(before), mirror_source(g->mirror),
-               (now_us - confirmed_us) / 1000, (now_us - g->started_us) / 1000,
-               n, ids->str);
-    g_string_free(ids, TRUE);
-}
-
 static const char *
 on_source(void *ctx)
 {
@@ -156,7 +130,7 @@
 {
     Edge *g = ctx;
 
-    log_late_routes(g, t);
+    edge_log_late_routes(g, t);
     for (int i = 0; i < rt_n_services(t); i++) {
         demand_service(g->demand, rt_service(t, i)->id);
     }
@@ -212,7 +186,11 @@
 static void
 on_heartbeat(void *ctx, const PeerHeartbeat *hb, int64_t now_us)
 {
-    heartbeat_receive(((Edge *)ctx)->heartbeats, hb, now_us);
+    Edge *g = ctx;
+
+    if (heartbeat_receive(g->heartbeats, hb, now_us)) {
+        edge_heard(g, hb, now_us);
+    }
 }
 
 static void
@@ -239,6 +217,7 @@
     Edge *g = ctx;
     (void)now_us;
 
+    edge_heard_answered(g);
     px_set_routes_behind(g->px, false);
     px_wait_for_view(g->px, 0);
 }
@@ -253,8 +232,11 @@
 static void
 on_urgent_current(void *ctx, int64_t now_us)
 {
+    Edge *g = ctx;
     (void)now_us;
-    px_set_routes_behind(((Edge *)ctx)->px, false);
+
+    edge_heard_answered(g);
+    px_set_routes_behind(g->px, false);
 }
 
 /* Requests must not use upstreams or routes that were withdrawn while this VM
@@ -366,8 +348,12 @@
     demand_step(g->demand, g->upstreams, by_region, now_us);
     plan_step(g->plan, g->upstreams, now_us);
     on_crash_step(g, now_us);
+    edge_step_heard(g, now_us);
     if (now_us - g->heartbeat_us >= HEARTBEAT_US) {
         g->heartbeat_us = now_us;
+        const RtTable *t = view_routes(g->view);
+        heartbeat_set_config(g->heartbeats, view_config_rev(g->view),
+                             t == NULL ? 0 : rt_version(t));
         heartbeat_send(g->heartbeats, g->shutting_down, now_us);
     }
     if (now_us - g->settings_us >= SETTINGS_POLL_US) {
--- /dev/null
+++ b/src/edge_config.c
@@ -0,0 +1,111 @@
+/* edge_config - the configuration in force compared with that of other VMs,
+ * and the record of one that came late.  See edge_state.h. */
+#include <inttypes.h>
+
+#include "edge_state.h"
+
+/* Longest time for which requests are queued until the store has answered
+ * which configuration is the newest. */
+#define HEARD_WAIT_US 400000
+
+static uint64_t
+own_version(const Edge *g)
+{
+    const RtTable *t = view_routes(g->view);
+
+    return t == NULL ? 0 : rt_version(t);
+}
+
+/* A change that this VM learns of now was made after its copy of the store was
+ * last known to be current, or before another VM had it.  Requests handled
+ * since then, later than the time limit for changes allows, may have used an
+ * older configuration. */
+void
+edge_log_late_routes(const Edge *g, const RtTable *t)
+{
+    int64_t now_us = evl_now(g->loop);
+    int64_t confirmed_us = px_confirmed(g->px);
+    int64_t heard_us = heard_since(&g->heard, view_config_rev(g->view));
+    const RtTable *before = px_routes(g->px);
+    int64_t from_us = confirmed_us + g->set.config_us;
+
+    if (before == NULL || confirmed_us == 0 ||
+        (now_us <= from_us && (heard_us == 0 || !g->heard.asking))) {
+        return;
+    }
+    if (heard_us != 0 && g->heard.asking) {
+        from_us = MIN(from_us, heard_us);
+    }
+    GString *ids = g_string_new(NULL);
+    int n = px_requests_since(g->px, from_us, ids);
+    dlog_event(g->log, DLOG_WARN, "config",
+               "event=late version=%" PRIu64 " before=%" PRIu64
+               " by=%s copy_age_ms=%" PRId64 " heard_ms=%" PRId64
+               " uptime_ms=%" PRId64 " requests=%d ids=%s",
+               rt_version(t), rt_version(before), mirror_source(g->mirror),
+               (now_us - confirmed_us) / 1000,
+               heard_us == 0 ? 0 : (now_us - heard_us) / 1000,
+               (now_us - g->started_us) / 1000, n, ids->str);
+    g_string_free(ids, TRUE);
+}
+
+void
+edge_heard(Edge *g, const PeerHeartbeat *hb, int64_t now_us)
+{
+    heard_add(&g->heard, hb->vm, hb->config_rev, hb->config_version,
+              view_config_seen(g->view), now_us);
+}
+
+static void
+warn_behind(const Edge *g, const HeardClaim *c, int64_t now_us)
+{
+    dlog_event(g->log, DLOG_WARN, "config",
+               "event=behind own_version=%" PRIu64 " own_rev=%" PRIu64
+               " heard_version=%" PRIu64 " heard_rev=%" PRIu64
+               " from=%s heard_ms=%" PRId64 " copy_age_ms=%" PRId64,
+               own_version(g), view_config_rev(g->view), c->version, c->rev,
+               dlog_name(str_of(c->vm)).s, (now_us - c->since_us) / 1000,
+               (now_us - px_confirmed(g->px)) / 1000);
+}
+
+void
+edge_step_heard(Edge *g, int64_t now_us)
+{
+    if (!g->view_complete) {
+        return;
+    }
+    HeardClaim *c = heard_step(&g->heard, view_config_seen(g->view),
+                               g->propagation_us, now_us);
+    if (c == NULL) {
+        return;
+    }
+    if (!c->warned) {
+        c->warned = true;
+        warn_behind(g, c, now_us);
+    }
+    if (mirror_ask_urgent(g->mirror)) {
+        heard_asked(&g->heard, now_us);
+        g->heard_asks++;
+        px_wait_for_view(g->px, now_us + HEARD_WAIT_US);
+    }
+}
+
+void
+edge_heard_answered(Edge *g)
+{
+    HeardClaim c;
+
+    if (!g->heard.asking) {
+        return;
+    }
+    px_wait_for_view(g->px, 0);
+    while (heard_answered(&g->heard, view_config_seen(g->view), &c)) {
+        g->heard_refuted++;
+        dlog_event(g->log, DLOG_WARN, "config",
+                   "event=heard_refuted own_version=%" PRIu64
+                   " own_rev=%" PRIu64 " heard_version=%" PRIu64
+                   " heard_rev=%" PRIu64 " from=%s",
+                   own_version(g), view_config_rev(g->view), c.version, c.rev,
+                   dlog_name(str_of(c.vm)).s);
+    }
+}
--- a/src/edge_state.h
+++ b/src/edge_state.h
@@ -11,6 +11,7 @@
 #include "heartbeat.h"
 #include "caller.h"
 #include "demand.h"
+#include "heard.h"
 #include "dlog.h"
 #include "mirror.h"
 #include "px.h"
@@ -42,6 +43,9 @@
     CallerSet *ready;
     CallerSet *directory;
     CallerSet *metrics;
+    Heard heard;           /* configurations of other VMs */
+    int64_t heard_asks;    /* calls to the store because of them */
+    int64_t heard_refuted; /* revisions that the store did not confirm */
     EvlTimer tick;
     EvlTimer crash_step; /* while crash_waiting() */
     uint64_t boot_ms;
@@ -72,6 +76,21 @@
  * one. */
 void edge_step_shutdown(Edge *g, int64_t now_us);
 
+/* Logs a configuration that is about to take effect late, with the requests
+ * that may have used the one before. */
+void edge_log_late_routes(const Edge *g, const RtTable *t);
+
+/* A heartbeat of a VM of the list says which configuration is in force there.
+ */
+void edge_heard(Edge *g, const PeerHeartbeat *hb, int64_t now_us);
+
+/* Asks the store for a configuration that others have had for some time.
+ * Requests wait for the answer. */
+void edge_step_heard(Edge *g, int64_t now_us);
+
+/* The store's answer to that, if this VM has asked, was applied. */
+void edge_heard_answered(Edge *g);
+
 /* Records how late the tick is, which a planned stop allows for.  Logs a tick
  * that is late, with the time that the process has run since the tick before,
  * and its major page faults. */
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -17,6 +17,8 @@
     HeartbeatsOpts o;
     int64_t gossip_sent; /* gossip datagrams sent */
     uint64_t messages;   /* gossip messages sent */
+    uint64_t config_rev;
+    uint64_t config_version;
     /* Verdicts on requests that crash upstreams, sent beside heartbeats. */
     char verdicts[DGRAM_BYTES_MAX];
     size_t verdicts_bytes;
@@ -37,6 +39,13 @@
     g_free(b);
 }
 
+void
+heartbeat_set_config(Heartbeats *b, uint64_t rev, uint64_t version)
+{
+    b->config_rev = rev;
+    b->config_version = version;
+}
+
 int64_t
 heartbeat_gossip_sent(const Heartbeats *b)
 {
@@ -144,8 +153,11 @@
 void
 heartbeat_send(Heartbeats *b, bool leaving, int64_t now_us)
 {
-    PeerHeartbeat p = {
-        .boot_ms = b->o.boot_ms, .leaving = leaving, .sent_us = now_us};
+    PeerHeartbeat p = {.boot_ms = b->o.boot_ms,
+                       .leaving = leaving,
+                       .config_rev = b->config_rev,
+                       .config_version = b->config_version,
+                       .sent_us = now_us};
 
     g_strlcpy(p.vm, b->o.vm_id, sizeof(p.vm));
     demand_each(b->o.demand, add_demand, &p);
@@ -190,7 +202,7 @@
     peer_send(b->o.peer, &vml_at(b->o.vms, vm)->peer, buf, n);
 }
 
-void
+bool
 heartbeat_receive(Heartbeats *b, const PeerHeartbeat *in, int64_t now_us)
 {
     Vm *v = vml_find(b->o.vms, str_of(in->vm));
@@ -198,7 +210,7 @@
     /* After its clock was set back, an earlier start has a later time. */
     if (v == NULL || in->boot_ms < v->boot_ms ||
         in->boot_ms == v->ended_boot_ms) {
-        return;
+        return false;
     }
     update_vm(b, v, in, now_us);
     for (int i = 0; i < in->n_demands; i++) {
@@ -213,6 +225,7 @@
         plan_add(b->o.plan, in->demands[x->demand_index].service, x->object,
                  x->weight, now_us);
     }
+    return true;
 }
 
 static int
--- a/src/heartbeat.h
+++ b/src/heartbeat.h
@@ -43,11 +43,17 @@
 Heartbeats *heartbeat_new(const HeartbeatsOpts *o);
 void heartbeat_free(Heartbeats *b);
 
+/* Sets what heartbeats say about the configuration in force; see
+ * PeerHeartbeat. */
+void heartbeat_set_config(Heartbeats *b, uint64_t rev, uint64_t version);
+
 /* Sends heartbeats to a few VMs.  leaving: this VM is shutting down. */
 void heartbeat_send(Heartbeats *b, bool leaving, int64_t now_us);
 
-/* Applies a heartbeat received from another VM. */
-void heartbeat_receive(Heartbeats *b, const PeerHeartbeat *in, int64_t now_us);
+/* Applies a heartbeat received from another VM.  Returns false if it is
+ * ignored, as the list of VMs does not hold its sender, or a later start of
+ * it. */
+bool heartbeat_receive(Heartbeats *b, const PeerHeartbeat *in, int64_t now_us);
 
 /* Sends a message about crashes to a VM.  vm: index in the list of VMs. */
 void heartbeat_send_crashes(Heartbeats *b, int vm, const CrashMsg *m);
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -24,7 +24,6 @@
 #define WAIT_END_EARLY_US 2000
 
 static void feed_list(Feed *f);
-static void feed_list_urgent(Feed *f);
 static void feed_watch(Feed *f);
 
 static void
@@ -114,6 +113,7 @@
     else {
         f->value_bytes = MAX(f->value_bytes, g_bytes_get_size(value));
     }
+    f->lacked = f->lacked || rev <= kvcache_rev(f->cache);
     f->m->o.fns.changed(f->m->o.ctx, key, value, rev, now_us);
 }
 
@@ -324,24 +324,35 @@
     f->urgent_pending = false;
     if (p.more) {
         /* More than one page of urgent keys: list everything instead. */
+        f->asked = false;
         kv_page_clear(&p);
         feed_list(f);
         return;
     }
     f->m->source = "operator_list";
-    kvcache_merge(f->cache, &p, now_us);
-    kvcache_set_rev(f->cache, p.rev);
+    bool lacks_others = true;
+    if (f->asked) {
+        lacks_others = mirror_feed_asked(f, &p, now_us);
+    }
+    else {
+        kvcache_merge(f->cache, &p, now_us);
+        kvcache_set_rev(f->cache, p.rev);
+    }
     kv_page_clear(&p);
     notify_urgent(f->m, now_us);
+    if (!lacks_others) {
+        feed_succeeded(f, now_us);
+        feed_watch(f);
+        return;
+    }
     mirror_feed_confirm(f, f->list_start_us);
     feed_succeeded(f, now_us);
     mirror_feed_pause(f, false, now_us);
     resync_run(f->resync, kvcache_rev(f->cache), !f->skip_copies);
 }
 
-/* Reads the urgent keys; the watch continues from their revision. */
-static void
-feed_list_urgent(Feed *f)
+void
+mirror_feed_list_urgent(Feed *f)
 {
     f->list_start_us = evl_boottime();
     feed_call(f, f->m->o.codec->list(f->m->o.urgent, NULL, false),
@@ -371,7 +382,7 @@
     /* Few VMs miss so many changes; a dropped history is missed by all. */
     f->skip_copies = f->m->behind && status == KV_TOO_LARGE;
     resync_begin(f->resync);
-    feed_list_urgent(f);
+    mirror_feed_list_urgent(f);
 }
 
 static void
@@ -465,7 +476,7 @@
 
     f->pausing = false;
     if (f->urgent_pending) {
-        feed_list_urgent(f);
+        mirror_feed_list_urgent(f);
     }
     else if (!f->confirming && (f->listing || !f->listed || f->relist)) {
         feed_list(f);
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -82,6 +82,11 @@
  * called when all prefixes are confirmed. */
 void mirror_revalidate(Mirror *m);
 
+/* Reads the urgent keys from the store, not from a copy; MirrorFns.urgent is
+ * called with the answer.  A failed call is repeated after the usual pauses.
+ * Returns false if calls that bring all keys are under way, or calls fail. */
+bool mirror_ask_urgent(Mirror *m);
+
 /* Applies changes that another VM read from the store and forwarded. */
 void mirror_receive(Mirror *m, const Gossip *w, int64_t now_us);
 
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -53,6 +53,10 @@
     size_t value_bytes; /* of the largest value so far */
     bool failing;
     bool urgent_pending; /* changes were missed; read the urgent keys first */
+    bool asked;          /* the list of the urgent keys is that of
+                            mirror_ask_urgent() */
+    bool lacked;         /* it holds a change that the copy had counted as
+                            known */
     bool skip_copies;    /* the resync reads the store itself */
     Resync *resync;
     KvCache *cache;
@@ -98,6 +102,14 @@
  * from another VM. */
 void mirror_feed_pause(Feed *f, bool by_gossip, int64_t now_us);
 
+/* Reads the urgent keys; the watch continues from their revision. */
+void mirror_feed_list_urgent(Feed *f);
+
+/* Applies the urgent keys that mirror_ask_urgent() read.  Returns true if the
+ * copy lacked changes before its position, or its position is not one of the
+ * store: then a resync has begun, and the position is that of the page. */
+bool mirror_feed_asked(Feed *f, const KvPage *p, int64_t now_us);
+
 /* Applies the events of a watch, and forwards them to nearby VMs if the answer
  * is recent enough. */
 void mirror_feed_apply(Feed *f, const KvPage *p, int64_t now_us);
--- a/src/peer.c
+++ b/src/peer.c
@@ -10,9 +10,8 @@
 #include "gossipfrag.h"
 #include "gossipsend.h"
 
-#define MAGIC 0x6d696d32U     /* "mim2": format version 2 */
+#define MAGIC 0x6d696d33U     /* "mim3": format version 3 */
 #define DATAGRAMS_PER_TURN 64 /* read before other events are handled */
-#define CRASHES_MAX 6         /* in heartbeats of earlier releases */
 #define SLOT_SCALE 1000.0     /* slots are sent in thousandths */
 
 struct Peer {
@@ -43,26 +42,6 @@
     return TRUE;
 }
 
-/* The place of a list of crashes, up to CRASHES_MAX, which VMs of earlier
- * releases send; messages of crashmsg replace it. */
-static bool_t
-xdr_old_crashes(XDR *x)
-{
-    int n = 0;
-
-    if (!xdr_int(x, &n) || n < 0 || n > CRASHES_MAX) {
-        return FALSE;
-    }
-    for (int i = 0; i < n; i++) {
-        u_quad_t fingerprint;
-        u_quad_t id;
-        if (!xdr_u_int64_t(x, &fingerprint) || !xdr_u_int64_t(x, &id)) {
-            return FALSE;
-        }
-    }
-    return TRUE;
-}
-
 static bool_t
 xdr_object(XDR *x, PeerObject *o, int n_demands)
 {
@@ -108,9 +87,6 @@
             return FALSE;
         }
     }
-    if (!xdr_old_crashes(x)) {
-        return FALSE;
-    }
     if (!xdr_int(x, &b->n_objects) || b->n_objects < 0 ||
         b->n_objects > PEER_OBJECTS_MAX) {
         return FALSE;
@@ -139,16 +115,21 @@
     u_int magic = MAGIC;
     char *name = b->vm;
     u_quad_t boot = b->boot_ms;
+    u_quad_t config_rev = b->config_rev;
+    u_quad_t config_version = b->config_version;
     bool_t leaving = b->leaving ? TRUE : FALSE;
     int64_t times[] = {b->sent_us, b->echo_us, b->echo_delay_us};
 
     if (!xdr_u_int(x, &magic) || magic != MAGIC ||
         !xdr_string(x, &name, NAME_BYTES - 1) || !xdr_u_int64_t(x, &boot) ||
         !xdr_bool(x, &leaving) || !xdr_int64_t(x, &times[0]) ||
-        !xdr_int64_t(x, &times[1]) || !xdr_int64_t(x, &times[2])) {
+        !xdr_int64_t(x, &times[1]) || !xdr_int64_t(x, &times[2]) ||
+        !xdr_u_int64_t(x, &config_rev) || !xdr_u_int64_t(x, &config_version)) {
         return FALSE;
     }
     b->boot_ms = boot;
+    b->config_rev = config_rev;
+    b->config_version = config_version;
     b->leaving = leaving != FALSE;
     b->sent_us = times[0];
     b->echo_us = times[1];
--- a/src/peer.h
+++ b/src/peer.h
@@ -2,7 +2,8 @@
  * peer - heartbeats between entry VMs, as XDR datagrams.
  *
  * A heartbeat says that its VM is alive, whether it is shutting down, and the
- * demand of its callers for each service.  If it is lost, the next one reports
+ * demand of its callers for each service, and
+ * which configuration is in force there.  If it is lost, the next one reports
  * all of these again.  It also carries the observations of upstreams since the
  * last one, which are lost with it, and some objects (plan), which later
  * heartbeats repeat.  Gossip and messages about crashes use the same socket.
@@ -43,6 +44,9 @@
     char vm[NAME_BYTES];
     uint64_t boot_ms; /* wall time of the sender's start */
     bool leaving;
+    uint64_t config_rev; /* revision of the store that brought the sender's
+                            configuration in force; 0: none */
+    uint64_t config_version;
     int64_t sent_us;       /* steady time of the sender */
     int64_t echo_us;       /* sent_us of the last heartbeat received from the
                               receiver; 0: none */
--- a/src/view.c
+++ b/src/view.c
@@ -10,6 +10,7 @@
     ViewOpts o;
     RtTable *table;
     uint64_t table_rev; /* revision of the store that brought the table */
+    uint64_t seen_rev;  /* highest one of a configuration received */
     int64_t unreadable;
 };
 
@@ -35,6 +36,18 @@
     return v->table;
 }
 
+uint64_t
+view_config_rev(const View *v)
+{
+    return v->table_rev;
+}
+
+uint64_t
+view_config_seen(const View *v)
+{
+    return v->seen_rev;
+}
+
 int64_t
 view_unreadable(const View *v)
 {
@@ -59,6 +72,7 @@
     Err e = {0};
     RtTable *t = pf_parse_config(text, &e);
 
+    v->seen_rev = MAX(v->seen_rev, rev);
     if (t == NULL) {
         v->unreadable++;
         dlog_event(v->o.log, DLOG_WARN, "config",
--- a/src/view.h
+++ b/src/view.h
@@ -51,6 +51,12 @@
 /* Returns the configuration in effect, or NULL if there is none yet. */
 const RtTable *view_routes(const View *v);
 
+/* Revision of the store that brought it; 0: none. */
+uint64_t view_config_rev(const View *v);
+
+/* Highest revision of the configuration that was received, in force or not. */
+uint64_t view_config_seen(const View *v);
+
 /* Number of entries that could not be parsed. */
 int64_t view_unreadable(const View *v);
 
--- a/standins/peer.c
+++ b/standins/peer.c
@@ -5,6 +5,10 @@
  *   standin-peer --to IP:PORT REV AGE_MS [TO]
  *       says that nothing has changed in the store from revision REV to
  *       revision TO (default: REV), by an answer of the store that is so old
+ *   standin-peer --beat IP:PORT VM BOOT REV VERSION
+ *       sends heartbeats of the VM with that id and start, which say that a
+ *       configuration of that revision and version is in force there, until it
+ *       is ended
  *   standin-peer --listen IP:PORT
  *       prints "from=REV to=REV fragments=0|1 keys=KEY,..." for each message,
  *       until it is ended
@@ -18,9 +22,11 @@
 
 #include "gossip.h"
 #include "gossipfrag.h"
+#include "peer.h"
 #include "strm.h"
 
 #define AGE_MS_MAX 60000
+#define BEAT_US 250000
 
 static int
 send_unchanged(int fd, const struct sockaddr_in *to, uint64_t from_rev,
@@ -37,6 +43,26 @@
                : 0;
 }
 
+static int
+send_heartbeats(int fd, const struct sockaddr_in *to, char **args)
+{
+    PeerHeartbeat hb = {0};
+    char buf[DGRAM_BYTES_MAX];
+
+    if (!str_copy(hb.vm, sizeof(hb.vm), str_of(args[0])) ||
+        !str_u64(str_of(args[1]), INT64_MAX, &hb.boot_ms) ||
+        !str_u64(str_of(args[2]), UINT64_MAX, &hb.config_rev) ||
+        !str_u64(str_of(args[3]), UINT64_MAX, &hb.config_version)) {
+        return 2;
+    }
+    size_t n = peer_encode(&hb, buf, sizeof(buf));
+    while (sendto(fd, buf, n, 0, (const struct sockaddr *)to, sizeof(*to)) >=
+           0) {
+        usleep(BEAT_US);
+    }
+    return 1;
+}
+
 static void
 print_message(Gossip *w, bool fragments)
 {
@@ -85,11 +111,14 @@
         str_u64(str_of(argv[3]), UINT64_MAX, &rev) &&
         str_u64(str_of(argv[argc == 6 ? 5 : 3]), UINT64_MAX, &to_rev) &&
         str_u64(str_of(argv[4]), AGE_MS_MAX, &age_ms);
+    bool beats = argc == 7 && strcmp(argv[1], "--beat") == 0;
     bool listens = argc == 3 && strcmp(argv[1], "--listen") == 0;
 
-    if ((!sends && !listens) || !strm_parse_addr(str_of(argv[2]), &at)) {
-        fputs("usage: standin-peer --to IP:PORT REV AGE_MS [TO] | --listen "
-              "IP:PORT\n",
+    if ((!sends && !beats && !listens) ||
+        !strm_parse_addr(str_of(argv[2]), &at)) {
+        fputs("usage: standin-peer --to IP:PORT REV AGE_MS [TO] | --beat "
+              "IP:PORT "
+              "VM BOOT REV VERSION | --listen IP:PORT\n",
               stderr);
         return 2;
     }
@@ -97,6 +126,9 @@
     if (sends) {
         return send_unchanged(fd, &at, rev, to_rev, age_ms);
     }
+    if (beats) {
+        return send_heartbeats(fd, &at, argv + 3);
+    }
     if (bind(fd, (const struct sockaddr *)&at, sizeof(at)) != 0) {
         perror("standin-peer: bind");
         return 4;
--- a/tests/platform_behind.sh
+++ b/tests/platform_behind.sh
@@ -16,6 +16,10 @@
     grep -c 'part=config event=behind ' "$dir/vm1.log"
 }
 
+metric() {
+    curl -s "http://127.0.0.1:$((port + 105))/metrics" | sed -n "s/^$1 //p"
+}
+
 start_platform
 config 3
 settings 1 west-a
@@ -55,4 +59,16 @@
 sleep 2.5
 check next_route "$(ask 1 next /more/next/1/x/ok)" 200
 check asked_again "$(asked)" 1
+
+# Guards against a VM that calls the store for ever, because others claim a
+# revision that the store does not have.
+control "/test/key?vm/vm-9" "entry=127.0.0.1:$((port + 901)) peer=127.0.0.1:$((port + 904)) zone=west-a leaving=0 boot=1"
+sleep 1
+"$b/standin-peer" --beat "127.0.0.1:$((port + 104))" vm-9 1 2000000 9 &
+pids="$pids $!"
+sleep 8
+check asks "$(metric edge_heard_asks_total)" 2
+check refuted "$(metric edge_heard_refuted_total)" 1
+check refuted_line "$(sed -n 's/.* event=heard_refuted .* heard_version=\([0-9]*\) heard_rev=\([0-9]*\) from=\(.*\)/\1 \2 \3/p' "$dir/vm1.log")" "9 2000000 vm-9"
+check still_in_force "$(ask 1 last /more/next/1/x/ok)" 200
 finish
