Test the list that a VM asks for because of others

Guards against a position that skips events after such a list, changes before the position that stay missing, a position above the store's revision, and a call that is not repeated after a failure.

--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -53,6 +53,10 @@
     char calls[CALLS_MAX][128];
     int n_calls;
     EvlTimer end;
+    int64_t ask_after_us; /* mirror_ask_urgent() is called so long after the
+                             mirror is ready; 0: never */
+    EvlTimer ask;
+    bool asked;       /* its result */
     GHashTable *keys; /* keys that the mirror holds */
     char at_ready[256];
     char at_end[256];
@@ -211,11 +215,24 @@
 }
 
 static void
-on_ready(void *ctx, int64_t now_us)
+on_ask(void *ctx, int64_t now_us)
 {
     Store *s = ctx;
     (void)now_us;
 
+    s->asked = mirror_ask_urgent(s->mirror);
+}
+
+static void
+on_ready(void *ctx, int64_t now_us)
+{
+    Store *s = ctx;
+
+    if (s->ask_after_us > 0) {
+        s->ask = (EvlTimer){.fn = on_ask, .ctx = s};
+        evl_arm(s->loop, &s->ask, now_us + s->ask_after_us);
+    }
+
     write_keys(s, s->at_ready, sizeof(s->at_ready));
     evl_arm(s->loop, &s->end, evl_now(s->loop) + s->after_us);
 }
