Verify a checksum of gossip before it is applied

Cause: a gossip message has no checksum but that of UDP (16 bits), and fragments of two messages of the same id and length are joined. Evidence: build/test_gossip_damage on the code before: 1,190 of 1,190 flipped bits of a whole message and 600 of 600 in a fragment are read, and mixed fragments too. Change: 32 bits of XXH3 over the whole message behind the magic number; of a fragmented one inside the compressed part. The formats become min3 and minr. Result: build/test_gossip_damage 3 of 3 (0 of 1,190, 0 of 600, not joined); test_gossip 10, test_gossip_age 2, test_gossipsend 7, test_mirror 18 and test_mirror_copies 1 pass. A message grows by 4 bytes (32 to 36 without items).

--- a/src/gossip.c
+++ b/src/gossip.c
@@ -5,12 +5,15 @@
 #include <string.h>
 
 #include <rpc/rpc.h>
+#include <xxhash.h>
 
 #include "dgram.h"
 
-#define MAGIC 0x6d696e32U    /* "min2": format version 2 */
-#define HEAD_SIZE 32         /* magic, feed, from, to, age, count */
-#define AGE_AT 24            /* offset of the age in the head */
+#define MAGIC 0x6d696e33U    /* "min3": format version 3 */
+#define HEAD_SIZE 36         /* magic, checksum, feed, from, to, age, count */
+#define SUM_AT 4             /* offset of the checksum in the head */
+#define SUMMED_AT 8          /* it covers the bytes from here on */
+#define AGE_AT 28            /* offset of the age in the head */
 #define ITEM_SIZE 20         /* revision, deleted, lengths */
 #define ITEMS_MAX 64         /* items in a datagram */
 #define WHOLE_ITEMS_MAX 4096 /* items in a fragmented message */
@@ -71,6 +74,34 @@
            xdr_bytes(x, &bytes, &len, GOSSIP_LARGE_BYTES_MAX);
 }
 
+/* Checksum of a message of n bytes, in network byte order; n is at least
+ * SUMMED_AT. */
+static uint32_t
+checksum(const char *p, size_t n)
+{
+    return htonl((uint32_t)XXH3_64bits(p + SUMMED_AT, n - SUMMED_AT));
+}
+
+static void
+set_checksum(char *p, size_t n)
+{
+    uint32_t sum = checksum(p, n);
+
+    memcpy(p + SUM_AT, &sum, sizeof(sum));
+}
+
+static bool
+has_checksum(const char *p, size_t n)
+{
+    uint32_t sum;
+
+    if (n < HEAD_SIZE) {
+        return false;
+    }
+    memcpy(&sum, p + SUM_AT, sizeof(sum));
+    return sum == checksum(p, n);
+}
+
 static size_t
 message_size(const GossipOut *o)
 {
@@ -88,20 +119,25 @@
 encode_message(const GossipOut *o, u_quad_t from, int n, char *out, size_t cap)
 {
     u_int magic = MAGIC;
+    u_int sum = 0;
     int feed = o->feed;
     u_quad_t to = o->to;
     u_int age_ms = (u_int)CLAMP((o->age_us + 999) / 1000, 0, AGE_MS_MAX);
     XDR x;
 
     xdrmem_create(&x, out, (u_int)cap, XDR_ENCODE);
-    bool ok = xdr_u_int(&x, &magic) && xdr_int(&x, &feed) &&
-              xdr_u_int64_t(&x, &from) && xdr_u_int64_t(&x, &to) &&
-              xdr_u_int(&x, &age_ms) && xdr_int(&x, &n);
+    bool ok = xdr_u_int(&x, &magic) && xdr_u_int(&x, &sum) &&
+              xdr_int(&x, &feed) && xdr_u_int64_t(&x, &from) &&
+              xdr_u_int64_t(&x, &to) && xdr_u_int(&x, &age_ms) &&
+              xdr_int(&x, &n);
     for (int i = 0; ok && i < n; i++) {
         ok = encode_item(&x, o->items[i]);
     }
     size_t len = ok ? xdr_getpos(&x) : 0;
     xdr_destroy(&x);
+    if (len > 0) {
+        set_checksum(out, len);
+    }
     return len;
 }
 
@@ -172,14 +208,16 @@
 decode_message(XDR *x, Gossip *w, int items_max)
 {
     u_int magic;
+    u_int sum;
     u_quad_t from;
     u_quad_t to;
     u_int age_ms;
     int n;
 
-    if (!xdr_u_int(x, &magic) || magic != MAGIC || !xdr_int(x, &w->feed) ||
-        !xdr_u_int64_t(x, &from) || !xdr_u_int64_t(x, &to) ||
-        !xdr_u_int(x, &age_ms) || !xdr_int(x, &n) || n < 0 || n > items_max) {
+    if (!xdr_u_int(x, &magic) || magic != MAGIC || !xdr_u_int(x, &sum) ||
+        !xdr_int(x, &w->feed) || !xdr_u_int64_t(x, &from) ||
+        !xdr_u_int64_t(x, &to) || !xdr_u_int(x, &age_ms) || !xdr_int(x, &n) ||
+        n < 0 || n > items_max) {
         return false;
     }
     w->age_us = age_ms * INT64_C(1000);
@@ -203,12 +241,13 @@
     memset(w, 0, sizeof(*w));
     w->page.items = g_array_new(FALSE, TRUE, sizeof(KvItem));
     xdrmem_create(&x, buf, (u_int)n, XDR_DECODE);
-    bool ok = decode_message(&x, w, items_max);
+    bool ok = has_checksum(buf, n) && decode_message(&x, w, items_max);
     xdr_destroy(&x);
     if (!ok) {
         kv_page_clear(&w->page);
-        return err_set(e, ERR_PROTOCOL,
-                       "gossip message cut short or of another format");
+        return err_set(
+            e, ERR_PROTOCOL,
+            "gossip message cut short, damaged or of another format");
     }
     return true;
 }
@@ -245,6 +284,7 @@
     int64_t sum_ms = ntohl(age_ms) + (MAX(waited_us, 0) + 999) / 1000;
     age_ms = htonl((uint32_t)MIN(sum_ms, AGE_MS_MAX));
     memcpy(p + AGE_AT, &age_ms, sizeof(age_ms));
+    set_checksum(p, n);
 }
 
 GossipOrder
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -6,7 +6,9 @@
  * VM's watch in time defers its own watch, so that one VM of a zone or region
  * watches for all.  There is no election: the VM whose watch was answered last
  * has the shortest pause, and the others watch when its gossip fails to
- * arrive.  This is the suppression of Trickle (RFC 6206).  Pure functions.
+ * arrive.  This is the suppression of Trickle (RFC 6206).  A checksum of the
+ * whole message guards against damage on its way, not against forgery.  Pure
+ * functions.
  */
 #ifndef MIMOSA_GOSSIP_H
 #define MIMOSA_GOSSIP_H
--- a/src/gossipfrag.c
+++ b/src/gossipfrag.c
@@ -9,7 +9,7 @@
 
 #include "dgram.h"
 
-#define MAGIC 0x6d696e71U /* "minq": format version 2 */
+#define MAGIC 0x6d696e72U /* "minr": format version 3 */
 #define HEAD_SIZE 28 /* magic, id, index, count, compressed length, waited */
 #define WAITED_AT 24 /* offset of the time waited, in ms */
 #define FRAG_BYTES (GOSSIP_BYTES_MAX - HEAD_SIZE)
--- a/src/gossipfrag.h
+++ b/src/gossipfrag.h
@@ -5,7 +5,8 @@
  * Such messages arise when hundreds of upstreams start, shut down or drain at
  * once, and from configurations with many routes.  Without fragments each of
  * the dozens of VMs of a zone would ask the store.  A receiver that misses a
- * fragment cannot use the message.
+ * fragment cannot use the message.  The checksum of the message (gossip) is
+ * verified once it is complete.
  *
  * The age of the message is inside the compressed part.  Fragments may wait
  * before they are sent, so each carries the time for which it has waited.
