Apply gossip of VMs that the store lists with that start only

Cause: gossip names no sender, so that a VM takes a position from whatever reaches its port: another deployment, an earlier run, another VM there. Change: messages and fragments carry the hash of the sender's id and its start; those of a sender that the list of VMs does not hold with that start are dropped, counted (edge_gossip_ignored_total) and logged once a second at most. Fragments are joined by sender, start and id. The formats become min4 and mins. standin-peer names a VM and a start; the tests that use it list vm-9 and count a failure of standin-peer, which they had not noticed. A message without items has 52 bytes (36 before), the head of a fragment 44 (28 before).

--- a/src/edge.c
+++ b/src/edge.c
@@ -193,6 +193,12 @@
     }
 }
 
+static bool
+on_accepts(void *ctx, const GossipSender *from, int64_t now_us)
+{
+    return heartbeat_accepts(((Edge *)ctx)->heartbeats, from, now_us);
+}
+
 static void
 on_gossip(void *ctx, const Gossip *msg, int64_t now_us)
 {
@@ -373,7 +379,7 @@
 static bool
 open_sockets(Edge *g, Err *e)
 {
-    const PeerFns fns = {on_heartbeat, on_gossip, on_crashes};
+    const PeerFns fns = {on_heartbeat, on_accepts, on_gossip, on_crashes};
 
     if (!edge_open_listeners(g, e)) {
         return false;
--- a/src/edge_listen.c
+++ b/src/edge_listen.c
@@ -62,13 +62,14 @@
         "\nedge_gossip_incomplete_total %" PRId64
         "\nedge_datagrams_unsent_total %" PRId64
         "\nedge_heard_asks_total %" PRId64
-        "\nedge_heard_refuted_total %" PRId64 "\n",
+        "\nedge_heard_refuted_total %" PRId64
+        "\nedge_gossip_ignored_total %" PRId64 "\n",
         rt == NULL ? 0 : rt_version(rt), vml_count(g->vms), mc.calls,
         mc.watches_deferred, heartbeat_gossip_sent(g->heartbeats),
         callers_open(g->callers), peer_unreadable(g->peer),
         view_unreadable(g->view), mc.items_dropped, mc.gossip_missing,
         peer_incomplete(g->peer), peer_unsent(g->peer), g->heard_asks,
-        g->heard_refuted);
+        g->heard_refuted, heartbeat_gossip_ignored(g->heartbeats));
     hist_text(evl_event_delays(g->loop), "edge_delay_ms", "part=\"event\"", t);
     hist_text(evl_timer_delays(g->loop), "edge_delay_ms", "part=\"timer\"", t);
     for (int i = 0; i < CALLER_ENDS; i++) {
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -9,11 +9,12 @@
 
 #include "dgram.h"
 
-#define MAGIC 0x6d696e33U    /* "min3": format version 3 */
-#define HEAD_SIZE 36         /* magic, checksum, feed, from, to, age, count */
+#define MAGIC 0x6d696e34U /* "min4": format version 4 */
+/* Magic, checksum, sender, feed, from, to, age, count. */
+#define HEAD_SIZE 52
 #define SUM_AT 4             /* offset of the checksum in the head */
 #define SUMMED_AT 8          /* it covers the bytes from here on */
-#define AGE_AT 28            /* offset of the age in the head */
+#define AGE_AT 44            /* offset of the age in the head */
 #define ITEM_SIZE 20         /* revision, deleted, lengths */
 #define ITEMS_MAX 64         /* items in a datagram */
 #define WHOLE_ITEMS_MAX 4096 /* items in a fragmented message */
@@ -49,6 +50,19 @@
  * check for itself whether they are. */
 #define FAILURE_QUIET_US 4000000
 
+bool_t
+gossip_xdr_sender(XDR *x, GossipSender *s)
+{
+    u_quad_t vm = s->vm;
+    u_quad_t boot_ms = s->boot_ms;
+
+    if (!xdr_u_int64_t(x, &vm) || !xdr_u_int64_t(x, &boot_ms)) {
+        return FALSE;
+    }
+    *s = (GossipSender){vm, boot_ms};
+    return TRUE;
+}
+
 static size_t
 item_size(const KvItem *it)
 {
@@ -120,6 +134,7 @@
 {
     u_int magic = MAGIC;
     u_int sum = 0;
+    GossipSender sender = o->sender;
     int feed = o->feed;
     u_quad_t to = o->to;
     u_int age_ms = (u_int)CLAMP((o->age_us + 999) / 1000, 0, AGE_MS_MAX);
@@ -127,9 +142,9 @@
 
     xdrmem_create(&x, out, (u_int)cap, XDR_ENCODE);
     bool ok = xdr_u_int(&x, &magic) && xdr_u_int(&x, &sum) &&
-              xdr_int(&x, &feed) && xdr_u_int64_t(&x, &from) &&
-              xdr_u_int64_t(&x, &to) && xdr_u_int(&x, &age_ms) &&
-              xdr_int(&x, &n);
+              gossip_xdr_sender(&x, &sender) && xdr_int(&x, &feed) &&
+              xdr_u_int64_t(&x, &from) && xdr_u_int64_t(&x, &to) &&
+              xdr_u_int(&x, &age_ms) && xdr_int(&x, &n);
     for (int i = 0; ok && i < n; i++) {
         ok = encode_item(&x, o->items[i]);
     }
@@ -215,9 +230,9 @@
     int n;
 
     if (!xdr_u_int(x, &magic) || magic != MAGIC || !xdr_u_int(x, &sum) ||
-        !xdr_int(x, &w->feed) || !xdr_u_int64_t(x, &from) ||
-        !xdr_u_int64_t(x, &to) || !xdr_u_int(x, &age_ms) || !xdr_int(x, &n) ||
-        n < 0 || n > items_max) {
+        !gossip_xdr_sender(x, &w->sender) || !xdr_int(x, &w->feed) ||
+        !xdr_u_int64_t(x, &from) || !xdr_u_int64_t(x, &to) ||
+        !xdr_u_int(x, &age_ms) || !xdr_int(x, &n) || n < 0 || n > items_max) {
         return false;
     }
     w->age_us = age_ms * INT64_C(1000);
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -17,6 +17,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include <rpc/rpc.h>
+
 #include "err.h"
 #include "kv.h"
 
@@ -24,6 +26,15 @@
 #define GOSSIP_LARGE_BYTES_MAX                                                \
     (2 * 1024 * 1024) /* gossip in several datagrams */
 
+/* The start of a VM that sent a message. */
+typedef struct GossipSender {
+    uint64_t vm;      /* hash of its id, see Vm.key */
+    uint64_t boot_ms; /* wall time of the start */
+} GossipSender;
+
+/* Encodes or decodes a sender. */
+bool_t gossip_xdr_sender(XDR *x, GossipSender *s);
+
 /* A received message: all events after revision "from", up to
  * page.rev.  If both are the same and there are no items, nothing has changed
  * since that revision. */
@@ -34,6 +45,7 @@
                        counts from evl_since() at the arrival of the last
                        datagram */
     KvPage page;    /* cleared with kv_page_clear() */
+    GossipSender sender;
 } Gossip;
 
 /* A message to send: all events after revision "from", up to
@@ -46,6 +58,7 @@
     int n;
     int64_t age_us; /* all changes older than this are in the message, or
                        before "from" */
+    GossipSender sender;
 } GossipOut;
 
 /*
--- a/src/gossipfrag.c
+++ b/src/gossipfrag.c
@@ -9,14 +9,16 @@
 
 #include "dgram.h"
 
-#define MAGIC 0x6d696e72U /* "minr": format version 3 */
-#define HEAD_SIZE 28 /* magic, id, index, count, compressed length, waited */
-#define WAITED_AT 24 /* offset of the time waited, in ms */
+#define MAGIC 0x6d696e73U /* "mins": format version 4 */
+/* Magic, sender, id, index, count, compressed length, waited. */
+#define HEAD_SIZE 44
+#define WAITED_AT 40 /* offset of the time waited, in ms */
 #define FRAG_BYTES (GOSSIP_BYTES_MAX - HEAD_SIZE)
 #define ZSTD_LEVEL 1   /* enough, as the names in the entries repeat */
 #define MESSAGES_MAX 4 /* messages under reassembly at the same time */
 
 typedef struct Head {
+    GossipSender sender;
     u_quad_t id;
     u_int index;
     u_int count;
@@ -45,9 +47,9 @@
     u_int magic = MAGIC;
 
     return xdr_u_int(x, &magic) && magic == MAGIC &&
-           xdr_u_int64_t(x, &h->id) && xdr_u_int(x, &h->index) &&
-           xdr_u_int(x, &h->count) && xdr_u_int(x, &h->bytes) &&
-           xdr_u_int(x, &h->waited_ms);
+           gossip_xdr_sender(x, &h->sender) && xdr_u_int64_t(x, &h->id) &&
+           xdr_u_int(x, &h->index) && xdr_u_int(x, &h->count) &&
+           xdr_u_int(x, &h->bytes) && xdr_u_int(x, &h->waited_ms);
 }
 
 static GBytes *
@@ -87,8 +89,8 @@
         u_int count = (u_int)((n + FRAG_BYTES - 1) / FRAG_BYTES);
         out = g_ptr_array_new_with_free_func(unref_bytes);
         for (u_int i = 0; i < count; i++) {
-            g_ptr_array_add(
-                out, fragment(packed, (Head){id, i, count, (u_int)n, 0}));
+            g_ptr_array_add(out, fragment(packed, (Head){o->sender, id, i,
+                                                         count, (u_int)n, 0}));
         }
     }
     g_free(packed);
@@ -140,7 +142,9 @@
 static bool
 same_message(const Head *a, const Head *b)
 {
-    return a->id == b->id && a->count == b->count && a->bytes == b->bytes;
+    return a->sender.vm == b->sender.vm &&
+           a->sender.boot_ms == b->sender.boot_ms && a->id == b->id &&
+           a->count == b->count && a->bytes == b->bytes;
 }
 
 /* Returns the message that a fragment belongs to.  A new message replaces the
@@ -184,6 +188,24 @@
     return ok;
 }
 
+bool
+gossipfrag_sender(const char *p, size_t n, GossipSender *out)
+{
+    char buf[HEAD_SIZE];
+    Head h = {0};
+    XDR x;
+
+    if (n <= HEAD_SIZE) {
+        return false;
+    }
+    memcpy(buf, p, HEAD_SIZE);
+    xdrmem_create(&x, buf, HEAD_SIZE, XDR_DECODE);
+    bool ok = xdr_head(&x, &h);
+    xdr_destroy(&x);
+    *out = h.sender;
+    return ok;
+}
+
 GossipFragResult
 gossipfrag_add(GossipFrag *s, const char *p, size_t n, int64_t since_us,
                Gossip *w)
--- a/src/gossipfrag.h
+++ b/src/gossipfrag.h
@@ -32,6 +32,9 @@
 /* Returns true if the datagram is a fragment of a gossip message. */
 bool gossipfrag_is(const char *p, size_t n);
 
+/* Reads the sender of a fragment.  Returns false if it is malformed. */
+bool gossipfrag_sender(const char *p, size_t n, GossipSender *out);
+
 /* Adds the time for which a fragment has waited. */
 void gossipfrag_add_wait(char *p, size_t n, int64_t waited_us);
 
--- a/src/gossipsend.c
+++ b/src/gossipsend.c
@@ -81,7 +81,8 @@
 gossipsend_datagrams(const GossipOut *o, uint64_t id)
 {
     GossipDatagrams d = {g_ptr_array_new_with_free_func(unref_bytes), NULL};
-    GossipOut last = {.feed = o->feed, .from = o->to, .to = o->to};
+    GossipOut last = {
+        .feed = o->feed, .from = o->to, .to = o->to, .sender = o->sender};
 
     last.age_us = o->age_us;
     if (!gossip_fits(o)) {
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -1,6 +1,7 @@
 /* heartbeat - sends and applies heartbeats.  See heartbeat.h. */
 #include "heartbeat.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "hash.h"
@@ -13,10 +14,14 @@
  * would grow with the square of the number of VMs. */
 #define GOSSIP_REGION_VMS 8
 
+#define IGNORED_LOG_US 1000000 /* between lines about ignored gossip */
+
 struct Heartbeats {
     HeartbeatsOpts o;
-    int64_t gossip_sent; /* gossip datagrams sent */
-    uint64_t messages;   /* gossip messages sent */
+    int64_t gossip_sent;    /* gossip datagrams sent */
+    uint64_t messages;      /* gossip messages sent */
+    int64_t ignored;        /* gossip datagrams of other senders */
+    int64_t ignored_log_us; /* last line about them; 0: none */
     uint64_t config_rev;
     uint64_t config_version;
     /* Verdicts on requests that crash upstreams, sent beside heartbeats. */
@@ -228,6 +233,34 @@
     return true;
 }
 
+bool
+heartbeat_accepts(Heartbeats *b, const GossipSender *from, int64_t now_us)
+{
+    const Vm *v = vml_find_key(b->o.vms, from->vm);
+
+    if (v != NULL && from->boot_ms == v->boot_ms) {
+        return true;
+    }
+    b->ignored++;
+    if (b->ignored_log_us == 0 ||
+        now_us - b->ignored_log_us >= IGNORED_LOG_US) {
+        b->ignored_log_us = now_us;
+        dlog_event(b->o.log, DLOG_WARN, "peer",
+                   "event=gossip_ignored reason=%s from=%s hash=%016" PRIx64
+                   " boot=%" PRIu64 " count=%" PRId64,
+                   v == NULL ? "not_listed" : "other_start",
+                   v == NULL ? "-" : v->id, from->vm, from->boot_ms,
+                   b->ignored);
+    }
+    return false;
+}
+
+int64_t
+heartbeat_gossip_ignored(const Heartbeats *b)
+{
+    return b->ignored;
+}
+
 static int
 count_region_vms(const Heartbeats *b)
 {
@@ -262,16 +295,18 @@
 }
 
 void
-heartbeat_send_gossip(Heartbeats *b, const GossipOut *o)
+heartbeat_send_gossip(Heartbeats *b, const GossipOut *changes)
 {
+    GossipOut o = *changes;
+    uint64_t vm = hash_str(str_of(b->o.vm_id), 0);
     int64_t since_us = evl_boottime(); /* compression takes time, too */
-    uint64_t id = hash_mix(b->o.boot_ms ^ o->to, ++b->messages);
-    GossipDatagrams d =
-        gossipsend_datagrams(o, hash_mix(id, hash_str(str_of(b->o.vm_id), 0)));
+    uint64_t id = hash_mix(b->o.boot_ms ^ o.to, ++b->messages);
+    o.sender = (GossipSender){vm, b->o.boot_ms};
+    GossipDatagrams d = gossipsend_datagrams(&o, hash_mix(id, vm));
     bool whole_region = count_region_vms(b) <= GOSSIP_REGION_VMS;
     /* A message without news must not overtake a large one, which receivers
      * would miss and ask the store for. */
-    bool pace_all = o->n == 0 && peer_is_pacing(b->o.peer);
+    bool pace_all = o.n == 0 && peer_is_pacing(b->o.peer);
 
     for (int i = 0; i < vml_count(b->o.vms); i++) {
         const Vm *v = vml_at(b->o.vms, i);
--- a/src/heartbeat.h
+++ b/src/heartbeat.h
@@ -61,6 +61,14 @@
 /* Sends changes of the store to nearby VMs. */
 void heartbeat_send_gossip(Heartbeats *b, const GossipOut *o);
 
+/* Returns true if gossip of that sender may be applied: the list of VMs holds
+ * it with that start.  Else counts it, and logs it at most once a second. */
+bool heartbeat_accepts(Heartbeats *b, const GossipSender *from,
+                       int64_t now_us);
+
+/* Number of gossip datagrams that were not applied because of their sender. */
+int64_t heartbeat_gossip_ignored(const Heartbeats *b);
+
 /* Number of gossip datagrams sent so far. */
 int64_t heartbeat_gossip_sent(const Heartbeats *b);
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -171,6 +171,13 @@
     Gossip w;
 
     if (gossipfrag_is(buf, n)) {
+        GossipSender from;
+        if (!gossipfrag_sender(buf, n, &from)) {
+            return false;
+        }
+        if (!p->fns.accepts(p->ctx, &from, evl_now(p->loop))) {
+            return true;
+        }
         GossipFragResult use =
             gossipfrag_add(p->fragments, buf, n, p->since_us, &w);
         if (use == GOSSIPFRAG_COMPLETE) {
@@ -182,7 +189,12 @@
         if (!gossip_decode(&w, buf, n, NULL)) {
             return false;
         }
-        deliver_gossip(p, &w);
+        if (p->fns.accepts(p->ctx, &w.sender, evl_now(p->loop))) {
+            deliver_gossip(p, &w);
+        }
+        else {
+            kv_page_clear(&w.page);
+        }
         return true;
     }
     if (crashmsg_is(buf, n)) {
--- a/src/peer.h
+++ b/src/peer.h
@@ -67,6 +67,8 @@
 
 typedef struct PeerFns {
     void (*heartbeat)(void *ctx, const PeerHeartbeat *b, int64_t now_us);
+    /* Returns true if gossip of that sender may be applied. */
+    bool (*accepts)(void *ctx, const GossipSender *from, int64_t now_us);
     void (*gossip)(void *ctx, const Gossip *w, int64_t now_us);
     void (*crashes)(void *ctx, const CrashMsg *m, int64_t now_us);
 } PeerFns;
--- a/src/vml.c
+++ b/src/vml.c
@@ -125,6 +125,18 @@
     return NULL;
 }
 
+const Vm *
+vml_find_key(const Vml *l, uint64_t key)
+{
+    for (guint i = 0; i < l->vms->len; i++) {
+        const Vm *v = &g_array_index(l->vms, Vm, i);
+        if (v->key == key) {
+            return v;
+        }
+    }
+    return NULL;
+}
+
 /* Index at which a VM with that id is inserted; the list is ordered by id. */
 static int
 insert_index(const Vml *l, const char *id)
--- a/src/vml.h
+++ b/src/vml.h
@@ -51,6 +51,8 @@
 void vml_put(Vml *l, const Vm *v);
 void vml_remove(Vml *l, Str id);
 Vm *vml_find(Vml *l, Str id);
+/* Returns the VM with that Vm.key, or NULL. */
+const Vm *vml_find_key(const Vml *l, uint64_t key);
 int vml_count(const Vml *l);
 const Vm *vml_at(const Vml *l, int i);
 
--- a/standins/peer.c
+++ b/standins/peer.c
@@ -2,10 +2,10 @@
  * standin-peer - test stand-in for another entry VM: sends one gossip message,
  * or prints those that it receives.
  *
- *   standin-peer --to IP:PORT REV AGE_MS [TO]
- *       says that nothing has changed in the store from revision REV to
- *       revision TO (default: REV), by an answer of the store that is so old
- *   standin-peer --beat IP:PORT VM BOOT REV VERSION
+ *   standin-peer --to IP:PORT VM BOOT REV AGE_MS [TO]
+ *       says, as the VM with that id and start, that nothing has changed in
+ * the store from revision REV to revision TO (default: REV), by an answer of
+ * the store that is so old standin-peer --beat IP:PORT VM BOOT REV VERSION
  *       sends heartbeats of the VM with that id and start, which say that a
  *       configuration of that revision and version is in force there, until it
  *       is ended
@@ -22,6 +22,7 @@
 
 #include "gossip.h"
 #include "gossipfrag.h"
+#include "hash.h"
 #include "peer.h"
 #include "strm.h"
 
@@ -29,12 +30,18 @@
 #define BEAT_US 250000
 
 static int
-send_unchanged(int fd, const struct sockaddr_in *to, uint64_t from_rev,
-               uint64_t to_rev, uint64_t age_ms)
+send_unchanged(int fd, const struct sockaddr_in *to, int n_args, char **args)
 {
-    GossipOut o = {.from = from_rev,
-                   .to = to_rev,
-                   .age_us = (int64_t)age_ms * INT64_C(1000)};
+    GossipOut o = {.sender.vm = hash_str(str_of(args[0]), 0)};
+    uint64_t age_ms;
+
+    if (!str_u64(str_of(args[1]), INT64_MAX, &o.sender.boot_ms) ||
+        !str_u64(str_of(args[2]), UINT64_MAX, &o.from) ||
+        !str_u64(str_of(args[3]), AGE_MS_MAX, &age_ms) ||
+        !str_u64(str_of(args[n_args == 5 ? 4 : 2]), UINT64_MAX, &o.to)) {
+        return 2;
+    }
+    o.age_us = (int64_t)age_ms * INT64_C(1000);
     char buf[GOSSIP_BYTES_MAX];
     size_t n = gossip_encode(&o, buf, sizeof(buf));
 
@@ -103,28 +110,20 @@
 main(int argc, char **argv)
 {
     struct sockaddr_in at;
-    uint64_t rev = 0;
-    uint64_t age_ms = 0;
-    uint64_t to_rev = 0;
-    bool sends =
-        (argc == 5 || argc == 6) && strcmp(argv[1], "--to") == 0 &&
-        str_u64(str_of(argv[3]), UINT64_MAX, &rev) &&
-        str_u64(str_of(argv[argc == 6 ? 5 : 3]), UINT64_MAX, &to_rev) &&
-        str_u64(str_of(argv[4]), AGE_MS_MAX, &age_ms);
+    bool sends = (argc == 7 || argc == 8) && strcmp(argv[1], "--to") == 0;
     bool beats = argc == 7 && strcmp(argv[1], "--beat") == 0;
     bool listens = argc == 3 && strcmp(argv[1], "--listen") == 0;
 
     if ((!sends && !beats && !listens) ||
         !strm_parse_addr(str_of(argv[2]), &at)) {
-        fputs("usage: standin-peer --to IP:PORT REV AGE_MS [TO] | --beat "
-              "IP:PORT "
-              "VM BOOT REV VERSION | --listen IP:PORT\n",
+        fputs("usage: standin-peer --to IP:PORT VM BOOT REV AGE_MS [TO] | "
+              "--beat IP:PORT VM BOOT REV VERSION | --listen IP:PORT\n",
               stderr);
         return 2;
     }
     int fd = socket(AF_INET, SOCK_DGRAM, 0);
     if (sends) {
-        return send_unchanged(fd, &at, rev, to_rev, age_ms);
+        return send_unchanged(fd, &at, argc - 3, argv + 3);
     }
     if (beats) {
         return send_heartbeats(fd, &at, argv + 3);
--- a/tests/lib/drain_lib.sh
+++ b/tests/lib/drain_lib.sh
@@ -8,10 +8,17 @@
     control "/test/key?servers/$1" "{\"Service\":\"desk\",\"Addr\":\"127.0.0.1:$((port + 50 + ${1#u-}))\",\"Zone\":\"west-a\",\"Slots\":4,\"State\":\"$2\",\"ColdLeft\":\"0ms\",\"Seq\":9,\"born\":1}"
 }
 
+# list_vm9: writes the entry of vm-9.
+list_vm9() {
+    control "/test/key?vm/vm-9" "entry=127.0.0.1:$((port + 901)) peer=127.0.0.1:$((port + 904)) zone=west-a leaving=0 boot=1"
+    sleep 1
+}
+
 # confirm REV [AGE_MS]: tells VM 1 that nothing has changed since that revision,
-# by an answer of the store that is so old.
+# by an answer of the store that is so old, in the name of vm-9 (list_vm9).
 confirm() {
-    "$b/standin-peer" --to "127.0.0.1:$((port + 104))" "$1" "${2:-0}"
+    "$b/standin-peer" --to "127.0.0.1:$((port + 104))" vm-9 1 "$1" "${2:-0}" ||
+        fails=$((fails + 1))
 }
 
 revision() {
@@ -22,6 +29,7 @@
 # defer_watches: sends gossip until VM 1 no longer watches the store itself.
 # Sets rev to the current revision.
 defer_watches() {
+    list_vm9
     rev=$(revision)
     for _ in $(seq 25); do
         confirm "$rev"
--- a/tests/platform_behind.sh
+++ b/tests/platform_behind.sh
@@ -5,6 +5,7 @@
 b=$1
 PORT=${PORT:-26400}
 . tests/lib/platform_lib.sh
+. tests/lib/drain_lib.sh
 
 now_ms() {
     date +%s%3N
@@ -31,8 +32,9 @@
 done
 sleep 1.2
 check asked_before "$(asked)" 0
+list_vm9
 # From the position after it, watches of VM 1 return no event.
-"$b/standin-peer" --to "127.0.0.1:$((port + 104))" 0 0 1000000
+"$b/standin-peer" --to "127.0.0.1:$((port + 104))" vm-9 1 0 0 1000000
 sleep 0.2
 config 4 "$(routes 1 new)"
 stored_ms=$(now_ms)
@@ -62,8 +64,6 @@
 
 # Guards against a VM that calls the store for ever, because others claim a
 # revision that the store does not have.
-control "/test/key?vm/vm-9" "entry=127.0.0.1:$((port + 901)) peer=127.0.0.1:$((port + 904)) zone=west-a leaving=0 boot=1"
-sleep 1
 "$b/standin-peer" --beat "127.0.0.1:$((port + 104))" vm-9 1 2000000 9 &
 pids="$pids $!"
 sleep 8
--- a/tests/test_gossip_age.c
+++ b/tests/test_gossip_age.c
@@ -9,6 +9,10 @@
 #include "gossipsend.h"
 #include "peer.h"
 
+#define SENDER                                                                \
+    {                                                                         \
+        7, 1000                                                               \
+    }
 #define SLOW_MBPS 0.1 /* about five datagrams a second */
 #define LARGE_BYTES 4000
 #define RUN_US 10000000
@@ -42,6 +46,15 @@
     (void)now_us;
 }
 
+static bool
+on_accepts(void *ctx, const GossipSender *from, int64_t now_us)
+{
+    (void)ctx;
+    (void)from;
+    (void)now_us;
+    return true;
+}
+
 static void
 on_gossip(void *ctx, const Gossip *msg, int64_t now_us)
 {
@@ -62,7 +75,7 @@
 static void
 world_init(World *w)
 {
-    const PeerFns fns = {on_heartbeat, on_gossip, on_crashes};
+    const PeerFns fns = {on_heartbeat, on_accepts, on_gossip, on_crashes};
     struct sockaddr_in at = free_loopback_address();
 
     memset(w, 0, sizeof(*w));
@@ -99,7 +112,7 @@
     KvItem item = {
         .key = "k", .value = g_bytes_new(noise, sizeof(noise)), .rev = REV};
     const KvItem *items[] = {&item};
-    GossipOut o = {0, REV - 1, REV, items, 1, 0};
+    GossipOut o = {0, REV - 1, REV, items, 1, 0, SENDER};
     world_init(&w);
     int64_t answered_us = evl_boottime();
     GossipDatagrams d = gossipsend_datagrams(&o, 1);
--- a/tests/test_gossipsend.c
+++ b/tests/test_gossipsend.c
@@ -8,6 +8,10 @@
 #include "gossipfrag.h"
 #include "gossipsend.h"
 
+#define SENDER                                                                \
+    {                                                                         \
+        7, 1000                                                               \
+    }
 #define ITEMS_MAX 400
 #define SMALL_BYTES 200
 #define LARGE_BYTES 40000
@@ -55,7 +59,7 @@
 static GossipDatagrams
 datagrams(const Changes *f)
 {
-    GossipOut o = {0, FROM, FROM + (uint64_t)f->n, f->list, f->n, 0};
+    GossipOut o = {0, FROM, FROM + (uint64_t)f->n, f->list, f->n, 0, SENDER};
 
     return gossipsend_datagrams(&o, 1);
 }
@@ -283,7 +287,7 @@
     Receiver r = {0};
 
     add(&f, LARGE_BYTES);
-    GossipOut o = {0, FROM, FROM + 1, f.list, f.n, AGE_US};
+    GossipOut o = {0, FROM, FROM + 1, f.list, f.n, AGE_US, SENDER};
     GossipDatagrams d = gossipsend_datagrams(&o, 1);
     for (int i = 0; i < 2; i++) { /* datagrams are shared by receivers */
         send_late(&d, &r);
--- a/tests/test_heartbeat.c
+++ b/tests/test_heartbeat.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+#include "hash.h"
 #include "heartbeat.h"
 
 #define S INT64_C(1000000)
@@ -46,5 +47,32 @@
 }
 END_TEST
 
-T_MAIN("heartbeat",
+/* Guards against gossip of another deployment, of a start that has ended, and
+ * of one that the store does not list yet. */
+START_TEST(gossip_is_accepted_from_listed_starts_only)
+{
+    Topology p = {0};
+    uint64_t a = hash_str(str_of("a"), 0);
+
+    topology_add(&p, str_of("w1"), str_of("west"));
+    Vml *l = vml_new(&p);
+    HeartbeatsOpts o = {
+        .vms = l, .log = dlog_new(&(DlogOpts){2, 100, 65536}), .vm_id = "b"};
+    Heartbeats *b = heartbeat_new(&o);
+    ck_assert(!heartbeat_accepts(b, &(GossipSender){a, 5000}, NOW));
+    put_vm(l, &p, 5000);
+    ck_assert(heartbeat_accepts(b, &(GossipSender){a, 5000}, NOW));
+    ck_assert(!heartbeat_accepts(b, &(GossipSender){a, 6000}, NOW));
+    ck_assert(!heartbeat_accepts(b, &(GossipSender){a + 1, 5000}, NOW));
+    put_vm(l, &p, 6000);
+    ck_assert(!heartbeat_accepts(b, &(GossipSender){a, 5000}, NOW));
+    ck_assert(heartbeat_accepts(b, &(GossipSender){a, 6000}, NOW));
+    ck_assert_int_eq(heartbeat_gossip_ignored(b), 4);
+    heartbeat_free(b);
+    dlog_free(o.log);
+    vml_free(l);
+}
+END_TEST
+
+T_MAIN("heartbeat", gossip_is_accepted_from_listed_starts_only,
        heartbeat_of_an_earlier_start_is_ignored_after_a_clock_step)
