--- a/src/gossip.c
+++ b/src/gossip.c
@@ -5,12 +5,16 @@
 #include <string.h>
 
 #include <rpc/rpc.h>
+#include <xxhash.h>
 
 #include "dgram.h"
 
-#define MAGIC 0x6d696e32U    /* "min2": format version 2 */
-#define HEAD_SIZE 32         /* magic, feed, from, to, age, count */
-#define AGE_AT 24            /* offset of the age in the head */
+#define MAGIC 0x6d696e34U /* "min4": format version 4 */
+/* Magic, checksum, sender, feed, from, to, age, count. */
+#define HEAD_SIZE 52
+#define SUM_AT 4             /* offset of the checksum in the head */
+#define SUMMED_AT 8          /* it covers the bytes from here on */
+#define AGE_AT 44            /* offset of the age in the head */
 #define ITEM_SIZE 20         /* revision, deleted, lengths */
 #define ITEMS_MAX 64         /* items in a datagram */
 #define WHOLE_ITEMS_MAX 4096 /* items in a fragmented message */
@@ -46,6 +50,19 @@
  * check for itself whether they are. */
 #define FAILURE_QUIET_US 4000000
 
+bool_t
+gossip_xdr_sender(XDR *x, GossipSender *s)
+{
+    u_quad_t vm = s->vm;
+    u_quad_t boot_ms = s->boot_ms;
+
+    if (!xdr_u_int64_t(x, &vm) || !xdr_u_int64_t(x, &boot_ms)) {
+        return FALSE;
+    }
+    *s = (GossipSender){vm, boot_ms};
+    return TRUE;
+}
+
 static size_t
 item_size(const KvItem *it)
 {
@@ -71,6 +88,34 @@
            xdr_bytes(x, &bytes, &len, GOSSIP_LARGE_BYTES_MAX);
 }
 
+/* Checksum of a message of n bytes, in network byte order; n is at least
+ * SUMMED_AT. */
+static uint32_t
+checksum(const char *p, size_t n)
+{
+    return htonl((uint32_t)XXH3_64bits(p + SUMMED_AT, n - SUMMED_AT));
+}
+
+static void
+set_checksum(char *p, size_t n)
+{
+    uint32_t sum = checksum(p, n);
+
+    memcpy(p + SUM_AT, &sum, sizeof(sum));
+}
+
+static bool
+has_checksum(const char *p, size_t n)
+{
+    uint32_t sum;
+
+    if (n < HEAD_SIZE) {
+        return false;
+    }
+    memcpy(&sum, p + SUM_AT, sizeof(sum));
+    return sum == checksum(p, n);
+}
+
 static size_t
 message_size(const GossipOut *o)
 {
@@ -88,13 +133,16 @@
 encode_message(const GossipOut *o, u_quad_t from, int n, char *out, size_t cap)
 {
     u_int magic = MAGIC;
+    u_int sum = 0;
+    GossipSender sender = o->sender;
     int feed = o->feed;
     u_quad_t to = o->to;
     u_int age_ms = (u_int)CLAMP((o->age_us + 999) / 1000, 0, AGE_MS_MAX);
     XDR x;
 
     xdrmem_create(&x, out, (u_int)cap, XDR_ENCODE);
-    bool ok = xdr_u_int(&x, &magic) && xdr_int(&x, &feed) &&
+    bool ok = xdr_u_int(&x, &magic) && xdr_u_int(&x, &sum) &&
+              gossip_xdr_sender(&x, &sender) && xdr_int(&x, &feed) &&
               xdr_u_int64_t(&x, &from) && xdr_u_int64_t(&x, &to) &&
               xdr_u_int(&x, &age_ms) && xdr_int(&x, &n);
     for (int i = 0; ok && i < n; i++) {
@@ -102,6 +150,9 @@
     }
     size_t len = ok ? xdr_getpos(&x) : 0;
     xdr_destroy(&x);
+    if (len > 0) {
+        set_checksum(out, len);
+    }
     return len;
 }
 
@@ -172,12 +223,14 @@
 decode_message(XDR *x, Gossip *w, int items_max)
 {
     u_int magic;
+    u_int sum;
     u_quad_t from;
     u_quad_t to;
     u_int age_ms;
     int n;
 
-    if (!xdr_u_int(x, &magic) || magic != MAGIC || !xdr_int(x, &w->feed) ||
+    if (!xdr_u_int(x, &magic) || magic != MAGIC || !xdr_u_int(x, &sum) ||
+        !gossip_xdr_sender(x, &w->sender) || !xdr_int(x, &w->feed) ||
         !xdr_u_int64_t(x, &from) || !xdr_u_int64_t(x, &to) ||
         !xdr_u_int(x, &age_ms) || !xdr_int(x, &n) || n < 0 || n > items_max) {
         return false;
@@ -203,12 +256,13 @@
     memset(w, 0, sizeof(*w));
     w->page.items = g_array_new(FALSE, TRUE, sizeof(KvItem));
     xdrmem_create(&x, buf, (u_int)n, XDR_DECODE);
-    bool ok = decode_message(&x, w, items_max);
+    bool ok = has_checksum(buf, n) && decode_message(&x, w, items_max);
     xdr_destroy(&x);
     if (!ok) {
         kv_page_clear(&w->page);
-        return err_set(e, ERR_PROTOCOL,
-                       "gossip message cut short or of another format");
+        return err_set(
+            e, ERR_PROTOCOL,
+            "gossip message cut short, damaged or of another format");
     }
     return true;
 }
@@ -245,6 +299,7 @@
     int64_t sum_ms = ntohl(age_ms) + (MAX(waited_us, 0) + 999) / 1000;
     age_ms = htonl((uint32_t)MIN(sum_ms, AGE_MS_MAX));
     memcpy(p + AGE_AT, &age_ms, sizeof(age_ms));
+    set_checksum(p, n);
 }
 
 GossipOrder
--- a/src/gossipfrag.h
+++ b/src/gossipfrag.h
@@ -5,7 +5,8 @@
  * Such messages arise when hundreds of upstreams start, shut down or drain at
  * once, and from configurations with many routes.  Without fragments each of
  * the dozens of VMs of a zone would ask the store.  A receiver that misses a
- * fragment cannot use the message.
+ * fragment cannot use the message.  The checksum of the message (gossip) is
+ * verified once it is complete.
  *
  * The age of the message is inside the compressed part.  Fragments may wait
  * before they are sent, so each carries the time for which it has waited.
@@ -31,6 +32,9 @@
 /* Returns true if the datagram is a fragment of a gossip message. */
 bool gossipfrag_is(const char *p, size_t n);
 
+/* Reads the sender of a fragment.  Returns false if it is malformed. */
+bool gossipfrag_sender(const char *p, size_t n, GossipSender *out);
+
 /* Adds the time for which a fragment has waited. */
 void gossipfrag_add_wait(char *p, size_t n, int64_t waited_us);
 
--- a/standins/peer.c
+++ b/standins/peer.c
@@ -2,9 +2,13 @@
  * standin-peer - test stand-in for another entry VM: sends one gossip message,
  * or prints those that it receives.
  *
- *   standin-peer --to IP:PORT REV AGE_MS
- *       says that nothing has changed in the store since revision REV, by an
- *       answer of the store that is so old
+ *   standin-peer --to IP:PORT VM BOOT REV AGE_MS [TO]
+ *       says, as the VM with that id and start, that nothing has changed in
+ * the store from revision REV to revision TO (default: REV), by an answer of
+ * the store that is so old standin-peer --beat IP:PORT VM BOOT REV VERSION
+ *       sends heartbeats of the VM with that id and start, which say that a
+ *       configuration of that revision and version is in force there, until it
+ *       is ended
  *   standin-peer --listen IP:PORT
  *       prints "from=REV to=REV fragments=0|1 keys=KEY,..." for each message,
  *       until it is ended
@@ -18,16 +22,26 @@
 
 #include "gossip.h"
 #include "gossipfrag.h"
+#include "hash.h"
+#include "peer.h"
 #include "strm.h"
 
 #define AGE_MS_MAX 60000
+#define BEAT_US 250000
 
 static int
-send_unchanged(int fd, const struct sockaddr_in *to, uint64_t rev,
-               uint64_t age_ms)
+send_unchanged(int fd, const struct sockaddr_in *to, int n_args, char **args)
 {
-    GossipOut o = {
-        .from = rev, .to = rev, .age_us = (int64_t)age_ms * INT64_C(1000)};
+    GossipOut o = {.sender.vm = hash_str(str_of(args[0]), 0)};
+    uint64_t age_ms;
+
+    if (!str_u64(str_of(args[1]), INT64_MAX, &o.sender.boot_ms) ||
+        !str_u64(str_of(args[2]), UINT64_MAX, &o.from) ||
+        !str_u64(str_of(args[3]), AGE_MS_MAX, &age_ms) ||
+        !str_u64(str_of(args[n_args == 5 ? 4 : 2]), UINT64_MAX, &o.to)) {
+        return 2;
+    }
+    o.age_us = (int64_t)age_ms * INT64_C(1000);
     char buf[GOSSIP_BYTES_MAX];
     size_t n = gossip_encode(&o, buf, sizeof(buf));
 
@@ -36,6 +50,26 @@
                : 0;
 }
 
+static int
+send_heartbeats(int fd, const struct sockaddr_in *to, char **args)
+{
+    PeerHeartbeat hb = {0};
+    char buf[DGRAM_BYTES_MAX];
+
+    if (!str_copy(hb.vm, sizeof(hb.vm), str_of(args[0])) ||
+        !str_u64(str_of(args[1]), INT64_MAX, &hb.boot_ms) ||
+        !str_u64(str_of(args[2]), UINT64_MAX, &hb.config_rev) ||
+        !str_u64(str_of(args[3]), UINT64_MAX, &hb.config_version)) {
+        return 2;
+    }
+    size_t n = peer_encode(&hb, buf, sizeof(buf));
+    while (sendto(fd, buf, n, 0, (const struct sockaddr *)to, sizeof(*to)) >=
+           0) {
+        usleep(BEAT_US);
+    }
+    return 1;
+}
+
 static void
 print_message(Gossip *w, bool fragments)
 {
@@ -76,22 +110,23 @@
 main(int argc, char **argv)
 {
     struct sockaddr_in at;
-    uint64_t rev = 0;
-    uint64_t age_ms = 0;
-    bool sends = argc == 5 && strcmp(argv[1], "--to") == 0 &&
-                 str_u64(str_of(argv[3]), UINT64_MAX, &rev) &&
-                 str_u64(str_of(argv[4]), AGE_MS_MAX, &age_ms);
+    bool sends = (argc == 7 || argc == 8) && strcmp(argv[1], "--to") == 0;
+    bool beats = argc == 7 && strcmp(argv[1], "--beat") == 0;
     bool listens = argc == 3 && strcmp(argv[1], "--listen") == 0;
 
-    if ((!sends && !listens) || !strm_parse_addr(str_of(argv[2]), &at)) {
-        fputs("usage: standin-peer --to IP:PORT REV AGE_MS | --listen "
-              "IP:PORT\n",
+    if ((!sends && !beats && !listens) ||
+        !strm_parse_addr(str_of(argv[2]), &at)) {
+        fputs("usage: standin-peer --to IP:PORT VM BOOT REV AGE_MS [TO] | "
+              "--beat IP:PORT VM BOOT REV VERSION | --listen IP:PORT\n",
               stderr);
         return 2;
     }
     int fd = socket(AF_INET, SOCK_DGRAM, 0);
     if (sends) {
-        return send_unchanged(fd, &at, rev, age_ms);
+        return send_unchanged(fd, &at, argc - 3, argv + 3);
+    }
+    if (beats) {
+        return send_heartbeats(fd, &at, argv + 3);
     }
     if (bind(fd, (const struct sockaddr *)&at, sizeof(at)) != 0) {
         perror("standin-peer: bind");
