--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -50,18 +50,18 @@
     int64_t confirmed_us;   /* when the copy was last known to be current; boot
                                time */
     int64_t failed_us;      /* time of the last failed call; steady time */
+    uint64_t asked_rev;     /* position when the call under way began, or the
+                               list that it is part of */
+    int64_t gossip_from_us; /* gossip from before is ignored; steady time */
     int64_t backoff_us;
     size_t value_bytes; /* of the largest value so far */
     bool failing;
     bool urgent_pending; /* changes were missed; read the urgent keys first */
     bool skip_copies;    /* the resync reads the store itself */
-    uint64_t asked_rev;  /* position when the call under way began, or the
-                            list that it is part of */
     bool replacing;      /* the revision of the store has fallen; its next list
                             counts whatever the revisions of the copy */
-    int64_t gossip_from_us; /* gossip from before is ignored; steady time */
-    bool rev_above; /* the last answer of a watch had a revision above its
-                       events */
+    bool rev_above;      /* the last answer of a watch had a revision above its
+                            events */
     Resync *resync;
     KvCache *cache;
     KvPages pages;
