--- a/src/heartbeat.h
+++ b/src/heartbeat.h
@@ -59,7 +59,7 @@
 void heartbeat_send_crashes(Heartbeats *b, int vm, const CrashMsg *m);
 
 /* Sends changes of the store to nearby VMs. */
-void heartbeat_send_gossip(Heartbeats *b, const GossipOut *o);
+void heartbeat_send_gossip(Heartbeats *b, const GossipOut *changes);
 
 /* Returns true if gossip of that sender may be applied: the list of VMs holds
  * it with that start.  Else counts it, and logs it at most once a second. */
