--- a/tests/platform_versions.sh
+++ b/tests/platform_versions.sh
@@ -5,7 +5,7 @@
 # usage: platform_versions.sh BUILD_DIR
 set -u
 b=$1
-PORT=${PORT:-28600}
+PORT=${PORT:-28900}
 . tests/lib/platform_lib.sh
 . tests/lib/link_lib.sh
 
