--- a/standins/link.c
+++ b/standins/link.c
@@ -9,7 +9,9 @@
  *   --delay  one-way delay of each direction
  * SIGUSR1 cuts the link: connections are reset and new ones refused.  SIGHUP
  * resets them, too, and responds 429 to all further calls, as the store does
- * to a machine that it rejects.  SIGUSR2 opens the link again.
+ * to a machine that it rejects.  SIGRTMIN holds the bytes to the VM, SIGRTMIN
+ * + 1 those to the store, without closing any connection.  SIGUSR2 opens the
+ * link again and forwards what was held.
  */
 #include <getopt.h>
 #include <signal.h>
@@ -46,7 +48,7 @@
     Strm *to;
     GByteArray *data;
     GQueue *chunks; /* Chunk; the times at which data may be forwarded */
-    bool limited;   /* by the rate of the link */
+    bool limited;   /* to the VM: by the rate of the link */
     bool ended;     /* the sender has closed */
     bool end_sent;
 } Pipe;
@@ -73,6 +75,8 @@
     guint first;      /* connection whose turn it is */
     EvlFd listener;   /* fd -1 while the link is cut */
     bool refuses;     /* calls on new connections */
+    bool holds_down;  /* bytes from the store to the VM */
+    bool holds_up;    /* bytes from the VM to the store */
     EvlFd signals;
     EvlTimer tick;
 };
@@ -144,6 +148,12 @@
     strm_pause(p->from, p->data->len >= BUFFER_BYTES);
 }
 
+static bool
+pipe_is_held(const Link *l, const Pipe *p)
+{
+    return p->limited ? l->holds_down : l->holds_up;
+}
+
 /* Forwards at most PART_BYTES that are due.  Returns false if there are none,
  * or the receiver or the rate allows no more. */
 static bool
@@ -152,7 +162,7 @@
     Chunk *k = g_queue_peek_head(p->chunks);
 
     if (k == NULL || k->due_us > now_us || p->to->connecting ||
-        p->to->out->len > 0) {
+        p->to->out->len > 0 || pipe_is_held(l, p)) {
         return false;
     }
     guint n = MIN(k->n_bytes, PART_BYTES);
@@ -173,10 +183,10 @@
 
 /* Ends the direction after its last byte. */
 static void
-pipe_finish(Pipe *p)
+pipe_finish(const Link *l, Pipe *p)
 {
-    if (p->ended && !p->end_sent && p->data->len == 0 && !p->to->connecting &&
-        p->to->out->len == 0) {
+    if (!pipe_is_held(l, p) && p->ended && !p->end_sent && p->data->len == 0 &&
+        !p->to->connecting && p->to->out->len == 0) {
         p->end_sent = true;
         strm_end_output(p->to);
     }
@@ -216,8 +226,8 @@
         }
         pipe_receive(l, &c->up);
         pipe_receive(l, &c->down);
-        pipe_finish(&c->up);
-        pipe_finish(&c->down);
+        pipe_finish(l, &c->up);
+        pipe_finish(l, &c->down);
         if (c->up.end_sent && c->down.end_sent) {
             conn_close(c, false);
         }
@@ -359,8 +369,11 @@
     if (read(l->signals.fd, &info, sizeof(info)) != sizeof(info)) {
         return;
     }
-    l->refuses = info.ssi_signo == SIGHUP;
-    if (info.ssi_signo == SIGUSR1) {
+    int signo = (int)info.ssi_signo;
+    l->refuses = signo == SIGHUP;
+    l->holds_down = signo == SIGRTMIN;
+    l->holds_up = signo == SIGRTMIN + 1;
+    if (signo == SIGUSR1) {
         link_cut(l);
         return;
     }
@@ -382,6 +395,8 @@
     sigaddset(&set, SIGUSR1);
     sigaddset(&set, SIGUSR2);
     sigaddset(&set, SIGHUP);
+    sigaddset(&set, SIGRTMIN);
+    sigaddset(&set, SIGRTMIN + 1);
     sigprocmask(SIG_BLOCK, &set, NULL);
     l->signals = (EvlFd){.fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC),
                          .fn = on_signal,
--- a/standins/platform.c
+++ b/standins/platform.c
@@ -32,6 +32,8 @@
  *                          silent: do not respond; forget: respond 410 to the
  *                          next watch, then return to ok; partial: do not
  *                          respond to the second page of a list
+ *   PUT  /test/lag?MS      Serializable lists are those of that time ago, with
+ *                          the revision that the store had then
  *   PUT  /test/endless?K   the store responds to all calls without end, see
  *                          endless_kinds; without K it does no longer
  *   GET  /test/runs?ID     number of runs of the attempt ID
--- a/standins/platform_history.h
+++ b/standins/platform_history.h
@@ -139,6 +139,39 @@
     return NULL;
 }
 
+/* Returns the revision that the store had lag_us ago. */
+static uint64_t
+lagging_rev(const Platform *p, int64_t now_us)
+{
+    for (GList *l = p->history->tail; l != NULL; l = l->prev) {
+        const Event *ev = l->data;
+        if (now_us - ev->at_us >= p->lag_us) {
+            return ev->item.rev;
+        }
+    }
+    return p->lost_rev;
+}
+
+/* Returns the item of a key as it was at that revision; NULL if there was
+ * none.  A state that the history no longer holds is replaced by the present
+ * one, whose own revision is later. */
+static const Item *
+item_at(const Platform *p, const Item *it, uint64_t rev)
+{
+    bool complete = p->lost_rev == 0;
+
+    if (it->rev <= rev) {
+        return it;
+    }
+    for (GList *l = p->history->tail; l != NULL; l = l->prev) {
+        const Item *old = &((const Event *)l->data)->item;
+        if (old->rev <= rev && strcmp(old->key, it->key) == 0) {
+            return old;
+        }
+    }
+    return complete ? NULL : it;
+}
+
 static bool
 has_item(const Platform *p, const char *key)
 {
--- a/standins/platform_state.h
+++ b/standins/platform_state.h
@@ -93,6 +93,7 @@
 typedef struct Platform {
     Evl *loop;
     Mode mode;
+    int64_t lag_us; /* age of the answers to Serializable lists */
     uint64_t rev;
     uint64_t last_lease_id;
     GPtrArray *items;  /* Item; latest of each key, also of removed keys */
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -65,21 +65,24 @@
 }
 
 static void
-on_range(Platform *p, Caller *c, Str target)
+on_range(Platform *p, Caller *c, Str target, int64_t now_us)
 {
     char *prefix = query_param(target, "PathPrefix");
     char *after = query_param(target, "after");
     GString *g = g_string_new("{\"items\":[");
+    char *stale = query_param(target, "Serializable");
+    bool lags = p->lag_us > 0 && stale != NULL && strcmp(stale, "1") == 0;
+    uint64_t rev = lags ? lagging_rev(p, now_us) : p->rev;
     bool partial = p->mode == MODE_PARTIAL;
     GPtrArray *found = g_ptr_array_new();
     guint n = 0;
 
     for (guint i = 0; i < p->items->len; i++) {
-        Item *it = g_ptr_array_index(p->items, i);
-        if (it->encoded != NULL && prefix != NULL &&
+        const Item *it = item_at(p, g_ptr_array_index(p->items, i), rev);
+        if (it != NULL && it->encoded != NULL && prefix != NULL &&
             g_str_has_prefix(it->key, prefix) &&
             (after == NULL || strcmp(it->key, after) > 0)) {
-            g_ptr_array_add(found, it);
+            g_ptr_array_add(found, (gpointer)it);
         }
     }
     g_ptr_array_sort(found, compare_keys);
@@ -89,12 +92,13 @@
     }
     g_string_append_printf(
         g, "],\"HasMore\":%s,\"CurrentRev\":%" G_GUINT64_FORMAT "}",
-        partial || n < found->len ? "true" : "false", MAX(p->rev, 1));
+        partial || n < found->len ? "true" : "false", MAX(rev, 1));
     g_ptr_array_free(found, TRUE);
     if (!partial || after == NULL) {
         respond(c, 200, g->str);
     }
     g_string_free(g, TRUE);
+    g_free(stale);
     g_free(after);
     g_free(prefix);
 }
@@ -332,6 +336,9 @@
     else if (strcmp(what, "delete") == 0) {
         put(p, arg, NULL, 0);
     }
+    else if (strcmp(what, "lag") == 0) {
+        p->lag_us = 1000 * atoll(arg);
+    }
     else if (strcmp(what, "mode") == 0) {
         set_mode(p, arg);
     }
@@ -358,7 +365,7 @@
         caller_set_user(c, NULL);
     }
     else if (g_str_has_prefix(path, "/api/kv-range")) {
-        on_range(p, c, req->target);
+        on_range(p, c, req->target, now_us);
     }
     else if (g_str_has_prefix(path, "/api/kv-watch")) {
         on_watch(p, c, req->target, now_us);
--- /dev/null
+++ b/tests/soak_cfgfaults.h
@@ -0,0 +1,202 @@
+/*
+ * soak_cfgfaults - faults that soak_config injects.
+ *
+ * All functions are static; a single program includes this header.
+ */
+#ifndef MIMOSA_SOAK_CFGFAULTS_H
+#define MIMOSA_SOAK_CFGFAULTS_H
+
+#include "soak_cfgworld.h"
+
+#define LAG_MAX_MS 6000
+
+static void
+kill_vm(ConfigVm *v, int64_t now_us)
+{
+    int64_t same_second = soak_chance(&v->w->s, 0.5);
+
+    kill(v->pid, SIGKILL);
+    v->disturbed_us = now_us;
+    v->start_at_us =
+        now_us + soak_int(&v->w->s, 0, same_second ? 200 : 2000) * MS;
+}
+
+static void
+freeze_vm(ConfigVm *v, int64_t now_us)
+{
+    kill(v->pid, SIGSTOP);
+    v->disturbed_us = now_us;
+    v->resume_us = now_us + soak_int(&v->w->s, 300, 4000) * MS;
+}
+
+/* Reads of the settings are no disturbance. */
+static void
+reload_vm(ConfigVm *v)
+{
+    if (soak_chance(&v->w->s, 0.5)) {
+        write_settings(v->w, v->no);
+    }
+    kill(v->pid, SIGHUP);
+}
+
+static void
+disturb_link(ConfigVm *v, int sig, int64_t min_ms, int64_t max_ms,
+             int64_t now_us)
+{
+    kill(v->link_pid, sig);
+    v->disturbed_us = now_us;
+    v->link_open_us = now_us + soak_int(&v->w->s, min_ms, max_ms) * MS;
+}
+
+static void
+disturb_store(World *w, Fault kind, int64_t now_us)
+{
+    static const char *const modes[] = {"busy", "refuse", "silent"};
+    char path[64];
+
+    if (kind == FAULT_FORGET) {
+        control(w, "/test/mode?forget", "", 0);
+    }
+    else if (kind == FAULT_LAG) {
+        snprintf(path, sizeof(path), "/test/lag?%d",
+                 soak_chance(&w->s, 0.2)
+                     ? 0
+                     : (int)soak_int(&w->s, 200, LAG_MAX_MS));
+        control(w, path, "", 0);
+    }
+    else {
+        snprintf(path, sizeof(path), "/test/mode?%s",
+                 modes[soak_int(&w->s, 0, 2)]);
+        control(w, path, "", 0);
+        w->store_disturbed_us = now_us;
+        w->store_ok_us = now_us + soak_int(&w->s, 500, 4000) * MS;
+    }
+}
+
+/* Injects a fault of that kind; returns false if the VM or the store is under
+ * another one that excludes it. */
+static bool
+inject_kind(World *w, Fault kind, int64_t now_us)
+{
+    ConfigVm *v = &w->vms[soak_int(&w->s, 0, VMS - 1)];
+
+    if (kind >= FAULT_STORE) {
+        if (kind == FAULT_STORE && w->store_ok_us != 0) {
+            return false;
+        }
+        disturb_store(w, kind, now_us);
+        return true;
+    }
+    if (kind >= FAULT_CUT) {
+        if (v->link_open_us != 0) {
+            return false;
+        }
+        int sig = kind == FAULT_CUT ? SIGUSR1
+                  : kind == FAULT_REFUSE
+                      ? SIGHUP
+                      : SIGRTMIN + (int)soak_int(&w->s, 0, 1);
+        disturb_link(v, sig, 500, kind == FAULT_HOLD ? 3000 : 6000, now_us);
+        return true;
+    }
+    if (v->pid == 0 || v->resume_us != 0 ||
+        (v->term_us != 0 && kind == FAULT_STOP)) {
+        return false;
+    }
+    if (kind == FAULT_KILL) {
+        kill_vm(v, now_us);
+    }
+    else if (kind == FAULT_FREEZE) {
+        freeze_vm(v, now_us);
+    }
+    else if (kind == FAULT_RELOAD) {
+        reload_vm(v);
+    }
+    else {
+        kill(v->pid, SIGTERM);
+        v->term_us = now_us;
+        v->disturbed_us = now_us;
+        v->start_at_us = now_us;
+    }
+    return true;
+}
+
+static void
+inject(World *w, int64_t now_us)
+{
+    int kind = (int)soak_int(&w->s, 0, FAULT_KINDS - 1);
+
+    for (int k = 0; k < FAULT_KINDS; k++) {
+        if (soak_fault(&w->s, fault_names[k])) {
+            kind = k;
+        }
+    }
+    if (!soak_fault(&w->s, "calm") && inject_kind(w, (Fault)kind, now_us)) {
+        w->faults[kind]++;
+    }
+}
+
+/* Reaps an ended process and starts it again, resumes a frozen one, kills one
+ * at the end of its time to stop, and opens its link. */
+static void
+poll_vm(ConfigVm *v, int64_t now_us)
+{
+    World *w = v->w;
+    int status;
+
+    if (v->pid != 0 && waitpid(v->pid, &status, WNOHANG) == v->pid) {
+        bool wanted = v->term_us != 0 ||
+                      (WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL);
+        if (!wanted && now_us - v->started_us > SEC) {
+            fprintf(stderr, "soak_config: vm %d ended, status %d\n", v->no,
+                    status);
+            w->violations++;
+        }
+        v->pid = 0;
+        v->resume_us = 0;
+        v->start_at_us = MAX(v->start_at_us, now_us);
+    }
+    if (v->pid == 0 && now_us >= v->start_at_us) {
+        start_vm(w, v->no);
+    }
+    if (v->resume_us != 0 && now_us >= v->resume_us) {
+        kill(v->pid, SIGCONT);
+        v->resume_us = 0;
+        v->disturbed_us = now_us;
+        v->frozen_us = now_us;
+    }
+    if (v->term_us != 0 && now_us > v->term_us + GRACE_US && v->pid != 0) {
+        kill(v->pid, SIGKILL);
+    }
+    if (v->link_open_us != 0 && now_us >= v->link_open_us) {
+        kill(v->link_pid, SIGUSR2);
+        v->link_open_us = 0;
+        v->disturbed_us = now_us;
+    }
+}
+
+static void
+poll_faults(World *w, int64_t now_us)
+{
+    for (int i = 0; i < VMS; i++) {
+        poll_vm(&w->vms[i], now_us);
+    }
+    if (w->store_ok_us != 0 && now_us >= w->store_ok_us) {
+        control(w, "/test/mode?ok", "", 0);
+        w->store_ok_us = 0;
+        w->store_disturbed_us = now_us;
+    }
+}
+
+/* Whether nothing has disturbed the VM, its link or the store for TOUCH_US
+ * before since_us, and up to now. */
+static bool
+vm_in_touch(const ConfigVm *v, int64_t since_us)
+{
+    const World *w = v->w;
+
+    return v->pid != 0 && v->resume_us == 0 && v->link_open_us == 0 &&
+           w->store_ok_us == 0 && since_us - v->disturbed_us > TOUCH_US &&
+           since_us - w->store_disturbed_us > TOUCH_US;
+}
+
+#endif
