--- a/tests/soak_cfgfaults.h
+++ b/tests/soak_cfgfaults.h
@@ -123,6 +123,8 @@
 static void
 inject(World *w, int64_t now_us)
 {
+    static const Fault start_kinds[] = {FAULT_KILL, FAULT_KILL, FAULT_KILL,
+                                        FAULT_HOLD, FAULT_LAG};
     int kind = (int)soak_int(&w->s, 0, FAULT_KINDS - 1);
 
     for (int k = 0; k < FAULT_KINDS; k++) {
@@ -130,6 +132,9 @@
             kind = k;
         }
     }
+    if (soak_fault(&w->s, "start")) {
+        kind = (int)start_kinds[kind % G_N_ELEMENTS(start_kinds)];
+    }
     if (!soak_fault(&w->s, "calm") && inject_kind(w, (Fault)kind, now_us)) {
         w->faults[kind]++;
     }
