Show that late gossip lets a VM use an old configuration

The age of a gossip message counts the time at its sender and in the receiver's socket, not the time between. A VM whose watches are put off by gossip takes its copy for younger by that time. The test delays the datagrams of one VM by a preloaded library, since a VM registers the address that it listens on and no relay can stand between.

--- a/Makefile
+++ b/Makefile
@@ -128,7 +128,7 @@
 	$(MAKE) all $(BENCHES)
 	tools/run_bench.sh $(B)
 
-soak: $(SOAKS) $(B)/mimosa-edge $(B)/standin-platform
+soak: $(SOAKS) $(B)/mimosa-edge $(B)/standin-platform $(B)/standin-link
 	@set -e; for s in $(SOAKS); do $$s --seed $(SEED) --steps $(STEPS); done
 
 model:
