--- a/standins/platform.c
+++ b/standins/platform.c
@@ -42,6 +42,8 @@
  *   PUT  /test/back?N      the revision of the store falls by N, as that of a
  *                          store that came back from an older copy; keys
  *                          changed since are lost
+ *   PUT  /test/lag?MS      Serializable lists are those of that time ago, with
+ *                          the revision that the store had then
  *   PUT  /test/endless?K   the store responds to all calls without end, see
  *                          endless_kinds; without K it does no longer
  *   GET  /test/runs?ID     number of runs of the attempt ID
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -112,24 +112,27 @@
 }
 
 static void
-on_range(Platform *p, Caller *c, Str target)
+on_range(Platform *p, Caller *c, Str target, int64_t now_us)
 {
     char *prefix = query_param(target, "PathPrefix");
     char *after = query_param(target, "after");
     GString *g = g_string_new("{\"items\":[");
     bool partial = p->mode == MODE_PARTIAL;
     bool copy = p->copy != NULL && is_serializable(target);
+    bool lags = p->lag_us > 0 && is_serializable(target);
     const GPtrArray *items = copy ? p->copy : p->items;
-    uint64_t rev = copy && p->copy_rev != 0 ? p->copy_rev : p->rev;
+    uint64_t rev = lags ? lagging_rev(p, now_us) : p->rev;
+    rev = copy && p->copy_rev != 0 ? p->copy_rev : rev;
     GPtrArray *found = g_ptr_array_new();
     guint n = 0;
 
     for (guint i = 0; i < items->len; i++) {
-        Item *it = g_ptr_array_index(items, i);
-        if (it->encoded != NULL && prefix != NULL &&
+        const Item *it = g_ptr_array_index(items, i);
+        it = copy ? it : item_at(p, it, rev);
+        if (it != NULL && it->encoded != NULL && prefix != NULL &&
             g_str_has_prefix(it->key, prefix) &&
             (after == NULL || strcmp(it->key, after) > 0)) {
-            g_ptr_array_add(found, it);
+            g_ptr_array_add(found, (gpointer)it);
         }
     }
     g_ptr_array_sort(found, compare_keys);
@@ -388,6 +391,9 @@
     else if (strcmp(what, "back") == 0) {
         go_back(p, g_ascii_strtoull(arg, NULL, 10));
     }
+    else if (strcmp(what, "lag") == 0) {
+        p->lag_us = 1000 * atoll(arg);
+    }
     else if (strcmp(what, "mode") == 0) {
         set_mode(p, arg);
     }
