platform_slow_queue: give the queue a round trip to fill

Without a delay the VM gives the watch up before the queue is full on some runs (in force 1.6 s after the watch on one, 3.5 s on others), so the test could miss the fault.

--- a/tests/platform_slow_queue.sh
+++ b/tests/platform_slow_queue.sh
@@ -22,7 +22,8 @@
 filler=$(routes 350 more)
 start_linked_vm
 check_before before_the_cut
-change_while_cut 25 "$rate" --queue "$queue"
+# The round trip lets the queue fill before the VM can give the watch up.
+change_while_cut 25 "$rate" --queue "$queue" --delay 12
 after=$(tail -n +$((log_lines + 1)) "$dir/vm1.log")
 failed=$(echo "$after" | grep -c 'event=call_failed prefix=.* status=0 ')
 failed_lease=$(echo "$after" | grep -c 'event=call_failed key=.* status=0')
