Count the time on the network in the age of gossip

Cause: a message of gossip says how old the knowledge of its sender was when it was sent, and the receiver counted from the arrival. The time on the way was counted nowhere. A message that travelled 2.5 s made the copy seem 2.5 s younger than it was, and put off the VM's own watch; while such messages kept arriving the VM lived by them alone, and copy_old, late and routes_behind judged by the same wrong age. Change: a message also names the time of its sender's clock at which its knowledge was true. The echo of an own heartbeat in a heartbeat of the sender bounds the own time at that time from below, however late either was (peerclock). Of a VM without an echo nothing is taken for known; it is asked for one, at most once a second. What is applied does not change. Why it works: the bound uses the own clock and a duration of the sender's clock, and no time of arrival. A heartbeat of a start that the store does not list no longer makes gossip of that start acceptable (listed_boot_ms).

--- a/src/edge.c
+++ b/src/edge.c
@@ -202,7 +202,12 @@
 static void
 on_gossip(void *ctx, const Gossip *msg, int64_t now_us)
 {
-    mirror_receive(((Edge *)ctx)->mirror, msg, now_us);
+    Edge *g = ctx;
+    Gossip aged = *msg;
+
+    aged.age_us =
+        heartbeat_gossip_age(g->heartbeats, msg, evl_since(g->loop), now_us);
+    mirror_receive(g->mirror, &aged, now_us);
 }
 
 static void
@@ -483,6 +488,7 @@
         .zone = g->set.zone,
         .region = g->set.topology.region_of[g->set.zone],
         .boot_ms = g->boot_ms,
+        .started_us = g->started_us,
     };
 
     g->heartbeats = heartbeat_new(&ho);
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -10,11 +10,11 @@
 #include "dgram.h"
 
 #define MAGIC 0x6d696e34U /* "min4": format version 4 */
-/* Magic, checksum, sender, feed, from, to, age, count. */
-#define HEAD_SIZE 52
+/* Magic, checksum, sender, feed, from, to, known, age, count. */
+#define HEAD_SIZE 60
 #define SUM_AT 4             /* offset of the checksum in the head */
 #define SUMMED_AT 8          /* it covers the bytes from here on */
-#define AGE_AT 44            /* offset of the age in the head */
+#define AGE_AT 52            /* offset of the age in the head */
 #define ITEM_SIZE 20         /* revision, deleted, lengths */
 #define ITEMS_MAX 64         /* items in a datagram */
 #define WHOLE_ITEMS_MAX 4096 /* items in a fragmented message */
@@ -137,6 +137,7 @@
     GossipSender sender = o->sender;
     int feed = o->feed;
     u_quad_t to = o->to;
+    int64_t known_us = o->known_us;
     u_int age_ms = (u_int)CLAMP((o->age_us + 999) / 1000, 0, AGE_MS_MAX);
     XDR x;
 
@@ -144,7 +145,8 @@
     bool ok = xdr_u_int(&x, &magic) && xdr_u_int(&x, &sum) &&
               gossip_xdr_sender(&x, &sender) && xdr_int(&x, &feed) &&
               xdr_u_int64_t(&x, &from) && xdr_u_int64_t(&x, &to) &&
-              xdr_u_int(&x, &age_ms) && xdr_int(&x, &n);
+              xdr_int64_t(&x, &known_us) && xdr_u_int(&x, &age_ms) &&
+              xdr_int(&x, &n);
     for (int i = 0; ok && i < n; i++) {
         ok = encode_item(&x, o->items[i]);
     }
@@ -232,7 +234,8 @@
     if (!xdr_u_int(x, &magic) || magic != MAGIC || !xdr_u_int(x, &sum) ||
         !gossip_xdr_sender(x, &w->sender) || !xdr_int(x, &w->feed) ||
         !xdr_u_int64_t(x, &from) || !xdr_u_int64_t(x, &to) ||
-        !xdr_u_int(x, &age_ms) || !xdr_int(x, &n) || n < 0 || n > items_max) {
+        !xdr_int64_t(x, &w->known_us) || !xdr_u_int(x, &age_ms) ||
+        !xdr_int(x, &n) || n < 0 || n > items_max) {
         return false;
     }
     w->age_us = age_ms * INT64_C(1000);
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -41,10 +41,12 @@
 typedef struct Gossip {
     int feed; /* index of the watched prefix, see MirrorOpts.prefixes */
     uint64_t from;
-    int64_t age_us; /* all changes older than this were known to the sender;
-                       counts from evl_since() at the arrival of the last
-                       datagram */
-    KvPage page;    /* cleared with kv_page_clear() */
+    int64_t age_us;   /* all changes older than this were known to the sender;
+                         counts from evl_since() at the arrival of the last
+                         datagram */
+    int64_t known_us; /* the same as a time of the sender's clock: the age
+                         leaves out the way of the datagram */
+    KvPage page;      /* cleared with kv_page_clear() */
     GossipSender sender;
 } Gossip;
 
@@ -56,9 +58,10 @@
     uint64_t to;
     const KvItem *const *items;
     int n;
-    int64_t age_us; /* all changes older than this are in the message, or
-                       before "from" */
+    int64_t age_us;   /* all changes older than this are in the message, or
+                         before "from" */
     GossipSender sender;
+    int64_t known_us; /* age_us as a time of the sender's clock */
 } GossipOut;
 
 /*
--- a/src/gossipsend.c
+++ b/src/gossipsend.c
@@ -85,6 +85,7 @@
         .feed = o->feed, .from = o->to, .to = o->to, .sender = o->sender};
 
     last.age_us = o->age_us;
+    last.known_us = o->known_us;
     if (!gossip_fits(o)) {
         d.paced = gossipfrag_split(o, id);
     }
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -14,6 +14,9 @@
  * would grow with the square of the number of VMs. */
 #define GOSSIP_REGION_VMS 8
 
+#define ECHO_ASK_US 1000000 /* between requests for an echo */
+/* Age of gossip from a VM of whose clock nothing is known. */
+#define AGE_UNKNOWN_US INT64_C(3600000000)
 #define IGNORED_LOG_US 1000000 /* between lines about ignored gossip */
 
 struct Heartbeats {
@@ -22,6 +25,7 @@
     uint64_t messages;      /* gossip messages sent */
     int64_t ignored;        /* gossip datagrams of other senders */
     int64_t ignored_log_us; /* last line about them; 0: none */
+    bool leaving;
     uint64_t config_rev;
     uint64_t config_version;
     /* Verdicts on requests that crash upstreams, sent beside heartbeats. */
@@ -164,6 +168,7 @@
                        .config_version = b->config_version,
                        .sent_us = now_us};
 
+    b->leaving = leaving;
     g_strlcpy(p.vm, b->o.vm_id, sizeof(p.vm));
     demand_each(b->o.demand, add_demand, &p);
     add_objects(b, &p);
@@ -183,14 +188,21 @@
 update_vm(const Heartbeats *b, Vm *v, const PeerHeartbeat *in, int64_t now_us)
 {
     int64_t rtt_us = now_us - in->echo_us - in->echo_delay_us;
+    /* An echo of an earlier start may be of another clock. */
+    bool has_echo = in->echo_us >= b->o.started_us && rtt_us > 0;
 
     if (v->leaving != in->leaving) {
         dlog_event(b->o.log, DLOG_INFO, "vm",
                    "id=%s event=heartbeat leaving=%d", v->id,
                    in->leaving ? 1 : 0);
     }
-    if (in->echo_us > 0 && rtt_us > 0) {
+    if (v->boot_ms != in->boot_ms) {
+        v->clock = (PeerClock){0};
+    }
+    if (has_echo) {
         vml_observe_rtt(v, rtt_us);
+        peerclock_observe(&v->clock, in->sent_us, in->echo_us,
+                          in->echo_delay_us, now_us);
     }
     v->heartbeat_us = now_us;
     v->heartbeat_sent_us = in->sent_us;
@@ -207,6 +219,42 @@
     peer_send(b->o.peer, &vml_at(b->o.vms, vm)->peer, buf, n);
 }
 
+/* Sends a heartbeat to one VM, without the lists. */
+static void
+send_short(const Heartbeats *b, const Vm *v, bool wants_echo, int64_t now_us)
+{
+    PeerHeartbeat p = {.boot_ms = b->o.boot_ms,
+                       .leaving = b->leaving,
+                       .wants_echo = wants_echo,
+                       .config_rev = b->config_rev,
+                       .config_version = b->config_version,
+                       .sent_us = now_us};
+
+    g_strlcpy(p.vm, b->o.vm_id, sizeof(p.vm));
+    send_one(b, &p, v);
+}
+
+int64_t
+heartbeat_gossip_age(Heartbeats *b, const Gossip *msg, int64_t since_us,
+                     int64_t now_us)
+{
+    Vm *v = vml_find_key(b->o.vms, msg->sender.vm);
+    int64_t own_us;
+
+    if (v == NULL) {
+        return AGE_UNKNOWN_US;
+    }
+    if (!peerclock_own_time(&v->clock, msg->known_us, now_us, &own_us)) {
+        if (v->echo_asked_us == 0 ||
+            now_us - v->echo_asked_us >= ECHO_ASK_US) {
+            v->echo_asked_us = now_us;
+            send_short(b, v, true, now_us);
+        }
+        return AGE_UNKNOWN_US;
+    }
+    return MAX(msg->age_us, since_us - own_us);
+}
+
 bool
 heartbeat_receive(Heartbeats *b, const PeerHeartbeat *in, int64_t now_us)
 {
@@ -218,6 +266,9 @@
         return false;
     }
     update_vm(b, v, in, now_us);
+    if (in->wants_echo) {
+        send_short(b, v, false, now_us);
+    }
     for (int i = 0; i < in->n_demands; i++) {
         demand_received(b->o.demand, v->key, v->region, in->demands[i].service,
                         in->demands[i].slots, now_us);
@@ -238,7 +289,8 @@
 {
     const Vm *v = vml_find_key(b->o.vms, from->vm);
 
-    if (v != NULL && from->boot_ms == v->boot_ms) {
+    if (v != NULL && from->boot_ms == v->boot_ms &&
+        from->boot_ms == v->listed_boot_ms) {
         return true;
     }
     b->ignored++;
@@ -302,6 +354,7 @@
     int64_t since_us = evl_boottime(); /* compression takes time, too */
     uint64_t id = hash_mix(b->o.boot_ms ^ o.to, ++b->messages);
     o.sender = (GossipSender){vm, b->o.boot_ms};
+    o.known_us = since_us - o.age_us;
     GossipDatagrams d = gossipsend_datagrams(&o, hash_mix(id, vm));
     bool whole_region = count_region_vms(b) <= GOSSIP_REGION_VMS;
     /* A message without news must not overtake a large one, which receivers
--- a/src/heartbeat.h
+++ b/src/heartbeat.h
@@ -35,7 +35,8 @@
     const char *vm_id; /* this VM's id; borrowed */
     int zone;
     int region;
-    uint64_t boot_ms; /* wall time of this VM's start */
+    uint64_t boot_ms;   /* wall time of this VM's start */
+    int64_t started_us; /* the same on the clock of heartbeats */
 } HeartbeatsOpts;
 
 typedef struct Heartbeats Heartbeats;
@@ -66,6 +67,12 @@
 bool heartbeat_accepts(Heartbeats *b, const GossipSender *from,
                        int64_t now_us);
 
+/* Returns the age at since_us of what the sender of a message knew, with the
+ * time that the message was on its way.  Asks the sender for an echo while
+ * nothing is known of its clock; the age is then unlimited. */
+int64_t heartbeat_gossip_age(Heartbeats *b, const Gossip *msg,
+                             int64_t since_us, int64_t now_us);
+
 /* Number of gossip datagrams that were not applied because of their sender. */
 int64_t heartbeat_gossip_ignored(const Heartbeats *b);
 
--- a/src/peer.c
+++ b/src/peer.c
@@ -13,6 +13,8 @@
 #define MAGIC 0x6d696d33U     /* "mim3": format version 3 */
 #define DATAGRAMS_PER_TURN 64 /* read before other events are handled */
 #define SLOT_SCALE 1000.0     /* slots are sent in thousandths */
+#define FLAG_LEAVING 1U
+#define FLAG_WANTS_ECHO 2U
 
 struct Peer {
     Evl *loop;
@@ -117,12 +119,13 @@
     u_quad_t boot = b->boot_ms;
     u_quad_t config_rev = b->config_rev;
     u_quad_t config_version = b->config_version;
-    bool_t leaving = b->leaving ? TRUE : FALSE;
+    u_int flags = (b->leaving ? FLAG_LEAVING : 0) |
+                  (b->wants_echo ? FLAG_WANTS_ECHO : 0);
     int64_t times[] = {b->sent_us, b->echo_us, b->echo_delay_us};
 
     if (!xdr_u_int(x, &magic) || magic != MAGIC ||
         !xdr_string(x, &name, NAME_BYTES - 1) || !xdr_u_int64_t(x, &boot) ||
-        !xdr_bool(x, &leaving) || !xdr_int64_t(x, &times[0]) ||
+        !xdr_u_int(x, &flags) || !xdr_int64_t(x, &times[0]) ||
         !xdr_int64_t(x, &times[1]) || !xdr_int64_t(x, &times[2]) ||
         !xdr_u_int64_t(x, &config_rev) || !xdr_u_int64_t(x, &config_version)) {
         return FALSE;
@@ -130,7 +133,8 @@
     b->boot_ms = boot;
     b->config_rev = config_rev;
     b->config_version = config_version;
-    b->leaving = leaving != FALSE;
+    b->leaving = (flags & FLAG_LEAVING) != 0;
+    b->wants_echo = (flags & FLAG_WANTS_ECHO) != 0;
     b->sent_us = times[0];
     b->echo_us = times[1];
     b->echo_delay_us = times[2];
--- a/src/peer.h
+++ b/src/peer.h
@@ -44,6 +44,7 @@
     char vm[NAME_BYTES];
     uint64_t boot_ms; /* wall time of the sender's start */
     bool leaving;
+    bool wants_echo;     /* the receiver is asked for a heartbeat */
     uint64_t config_rev; /* revision of the store that brought the sender's
                             configuration in force; 0: none */
     uint64_t config_version;
--- a/src/vml.c
+++ b/src/vml.c
@@ -85,6 +85,7 @@
                        zone);
     }
     v->key = hash_str(id, 0);
+    v->listed_boot_ms = v->boot_ms;
     v->region = p->region_of[v->zone];
     v->leaving = flag != 0;
     return true;
@@ -125,11 +126,11 @@
     return NULL;
 }
 
-const Vm *
-vml_find_key(const Vml *l, uint64_t key)
+Vm *
+vml_find_key(Vml *l, uint64_t key)
 {
     for (guint i = 0; i < l->vms->len; i++) {
-        const Vm *v = &g_array_index(l->vms, Vm, i);
+        Vm *v = &g_array_index(l->vms, Vm, i);
         if (v->key == key) {
             return v;
         }
@@ -163,6 +164,8 @@
             old->ended_boot_ms = prev.ended_boot_ms;
             old->heartbeat_us = prev.heartbeat_us;
             old->heartbeat_sent_us = prev.heartbeat_sent_us;
+            old->clock = prev.clock;
+            old->echo_asked_us = prev.echo_asked_us;
         }
         return;
     }
--- a/src/vml.h
+++ b/src/vml.h
@@ -15,6 +15,7 @@
 #include <glib.h>
 
 #include "err.h"
+#include "peerclock.h"
 #include "pick.h"
 #include "topology.h"
 #include "str.h"
@@ -28,13 +29,17 @@
     struct sockaddr_in peer; /* for heartbeats */
     int zone;
     int region;
-    bool leaving;           /* it is shutting down */
-    uint64_t boot_ms;       /* wall time of its start */
-    uint64_t ended_boot_ms; /* start before that; 0: not known */
-    int64_t heartbeat_us;   /* when its last heartbeat was received; 0: none */
+    bool leaving;            /* it is shutting down */
+    uint64_t boot_ms;        /* wall time of its start */
+    uint64_t listed_boot_ms; /* that of its entry in the store; a heartbeat may
+                                bring a later one */
+    uint64_t ended_boot_ms;  /* start before that; 0: not known */
+    int64_t heartbeat_us; /* when its last heartbeat was received; 0: none */
     /* When it sent that heartbeat, by its own clock. */
     int64_t heartbeat_sent_us;
     int64_t rtt_us; /* round-trip time to it; 0: not known */
+    PeerClock clock;
+    int64_t echo_asked_us; /* when it was last asked for an echo; 0: never */
 } Vm;
 
 typedef struct Vml Vml;
@@ -52,7 +57,7 @@
 void vml_remove(Vml *l, Str id);
 Vm *vml_find(Vml *l, Str id);
 /* Returns the VM with that Vm.key, or NULL. */
-const Vm *vml_find_key(const Vml *l, uint64_t key);
+Vm *vml_find_key(Vml *l, uint64_t key);
 int vml_count(const Vml *l);
 const Vm *vml_at(const Vml *l, int i);
 
--- a/standins/peer.c
+++ b/standins/peer.c
@@ -29,6 +29,28 @@
 #define AGE_MS_MAX 60000
 #define BEAT_US 250000
 
+static int
+send_datagram(int fd, const struct sockaddr_in *to, const char *buf, size_t n)
+{
+    return sendto(fd, buf, n, 0, (const struct sockaddr *)to, sizeof(*to)) < 0
+               ? 1
+               : 0;
+}
+
+/* Says that the clock of this VM is that of the receiver, which runs on the
+ * same machine. */
+static int
+send_echo(int fd, const struct sockaddr_in *to, const char *vm,
+          uint64_t boot_ms, int64_t now_us)
+{
+    PeerHeartbeat hb = {
+        .boot_ms = boot_ms, .sent_us = now_us, .echo_us = now_us};
+    char buf[DGRAM_BYTES_MAX];
+
+    str_copy(hb.vm, sizeof(hb.vm), str_of(vm));
+    return send_datagram(fd, to, buf, peer_encode(&hb, buf, sizeof(buf)));
+}
+
 static int
 send_unchanged(int fd, const struct sockaddr_in *to, int n_args, char **args)
 {
@@ -41,11 +63,14 @@
         !str_u64(str_of(args[n_args == 5 ? 4 : 2]), UINT64_MAX, &o.to)) {
         return 2;
     }
+    int64_t now_us = evl_boottime();
     o.age_us = (int64_t)age_ms * INT64_C(1000);
+    o.known_us = now_us - o.age_us;
     char buf[GOSSIP_BYTES_MAX];
     size_t n = gossip_encode(&o, buf, sizeof(buf));
 
-    return sendto(fd, buf, n, 0, (const struct sockaddr *)to, sizeof(*to)) < 0
+    return send_echo(fd, to, args[0], o.sender.boot_ms, now_us) != 0 ||
+                   send_datagram(fd, to, buf, n) != 0
                ? 1
                : 0;
 }
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -420,7 +420,7 @@
         caller_set_user(c, NULL);
     }
     else if (g_str_has_prefix(path, "/api/kv-range")) {
-        on_range(p, c, req->target);
+        on_range(p, c, req->target, evl_now(p->loop));
     }
     else if (g_str_has_prefix(path, "/api/kv-watch")) {
         on_watch(p, c, req->target, now_us);
--- a/tests/platform_behind.sh
+++ b/tests/platform_behind.sh
@@ -33,9 +33,9 @@
 sleep 1.2
 check asked_before "$(asked)" 0
 list_vm9
-# From the position after it, watches of VM 1 return no event.
-"$b/standin-peer" --to "127.0.0.1:$((port + 104))" vm-9 1 0 0 1000000
-sleep 0.2
+# VM 1 takes the change that follows for one that it has: a position above the
+# store's revision would be seen in the answer of its next watch.
+"$b/standin-peer" --to "127.0.0.1:$((port + 104))" vm-9 1 0 0 $(($(revision) + 1))
 config 4 "$(routes 1 new)"
 stored_ms=$(now_ms)
 status=
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -56,7 +56,7 @@
     for (int i = 0; i < 8; i++) {
         add(&f, 101 + 3 * (uint64_t)i, i % 2 == 0 ? 0 : 100 + (size_t)i);
     }
-    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US, SENDER};
+    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US, SENDER, 0};
     size_t n = gossip_encode(&o, buf, sizeof(buf));
     ck_assert(gossip_is(buf, n));
     ck_assert(gossip_decode(&w, buf, n, NULL));
@@ -99,7 +99,7 @@
     Changes f = {.n = 0};
 
     add(&f, 5, 100);
-    GossipOut o = {0, 1, 200, f.list, f.n, AGE_US, SENDER};
+    GossipOut o = {0, 1, 200, f.list, f.n, AGE_US, SENDER, 0};
     ck_assert_int_eq(order_of(&o, 1), GOSSIP_NEXT);
     add(&f, 8, 5000);
     o.n = f.n;
@@ -196,7 +196,7 @@
     char buf[GOSSIP_BYTES_MAX];
 
     add(&f, 5, 100);
-    GossipOut o = {0, 1, 20, f.list, f.n, AGE_US, SENDER};
+    GossipOut o = {0, 1, 20, f.list, f.n, AGE_US, SENDER, 0};
     size_t n = gossip_encode(&o, buf, sizeof(buf));
     for (size_t cut = 0; cut < n; cut++) {
         ck_assert(!gossip_decode(&w, buf, cut, NULL));
@@ -250,7 +250,7 @@
             f.items[i].value = g_bytes_new(noise, sizeof(noise));
         }
     }
-    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US, SENDER};
+    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US, SENDER, 0};
     ck_assert(!gossip_fits(&o));
     GPtrArray *fragments = gossipfrag_split(&o, 1);
     ck_assert_uint_gt(fragments->len, 1);
@@ -295,7 +295,7 @@
     add(&f, 101, 1);
     g_bytes_unref(f.items[0].value);
     f.items[0].value = g_bytes_new(noise, sizeof(noise));
-    GossipOut o = {0, 100, 101, f.list, f.n, AGE_US, SENDER};
+    GossipOut o = {0, 100, 101, f.list, f.n, AGE_US, SENDER, 0};
     GPtrArray *fragments = gossipfrag_split(&o, 1);
     ck_assert_uint_eq(fragments->len, G_N_ELEMENTS(late_us));
     for (guint i = 0; i < fragments->len; i++) {
@@ -333,7 +333,7 @@
     for (int i = 0; i < N_MAX; i++) {
         add(&f, 101 + (uint64_t)i, 250);
     }
-    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US, SENDER};
+    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US, SENDER, 0};
     GPtrArray *fragments = gossipfrag_split(&o, 1);
     const char *p = g_bytes_get_data(g_ptr_array_index(fragments, 0), &n);
     for (int i = 0; i < 20000; i++) {
--- a/tests/test_gossipsend.c
+++ b/tests/test_gossipsend.c
@@ -59,7 +59,8 @@
 static GossipDatagrams
 datagrams(const Changes *f)
 {
-    GossipOut o = {0, FROM, FROM + (uint64_t)f->n, f->list, f->n, 0, SENDER};
+    GossipOut o = {0,      FROM, FROM + (uint64_t)f->n, f->list, f->n, 0,
+                   SENDER, 0};
 
     return gossipsend_datagrams(&o, 1);
 }
@@ -287,7 +288,7 @@
     Receiver r = {0};
 
     add(&f, LARGE_BYTES);
-    GossipOut o = {0, FROM, FROM + 1, f.list, f.n, AGE_US, SENDER};
+    GossipOut o = {0, FROM, FROM + 1, f.list, f.n, AGE_US, SENDER, 0};
     GossipDatagrams d = gossipsend_datagrams(&o, 1);
     for (int i = 0; i < 2; i++) { /* datagrams are shared by receivers */
         send_late(&d, &r);
--- a/tests/test_mirror_heard.c
+++ b/tests/test_mirror_heard.c
@@ -21,8 +21,8 @@
     Store s;
     const Answer script[] = {
         START_A_B,
-        {"PathPrefix=op/", 200, LIST(ITEM("op/config", "10"), "12")},
-        {"after=9&", 200, EVENTS(ITEM("servers/c", "11"), "12")},
+        {"PathPrefix=op/", 200, LIST(ITEM("op/config", "10"), "11")},
+        {"after=9&", 200, EVENTS(ITEM("servers/c", "11"), "11")},
         {NULL, 0, NULL},
     };
 
@@ -63,6 +63,8 @@
     const Answer script[] = {
         START_A_B,
         {"PathPrefix=op/", 200, LIST("", "6")},
+        {"/api/kv-range?PathPrefix=$", 200,
+         LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "6")},
         {"after=6&", 200, EVENTS(ITEM("servers/c", "7"), "7")},
         {NULL, 0, NULL},
     };
