Do not put off calls by gossip that proves nothing (review)

Callers saw: nothing measured; found by the review, by reading. Cause: gossip of an unknown or great age confirmed no time, yet armed the timer of the next watch anew: later than the VM's own pause, or, while the store turns the VM away and the copy is old, at once instead of after the pause. Change: only a message that confirms a later time puts the watch off, and it does not shorten the pause after a failed call.

--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -150,6 +150,20 @@
     }
 }
 
+/* Arms the timer of the next watch after gossip.  It does not shorten the
+ * pause after a failed call. */
+static void
+defer_watch(Feed *f, int64_t now_us)
+{
+    int64_t retry_us = f->timer.at_us;
+
+    f->m->deferred++;
+    mirror_feed_pause(f, true, now_us);
+    if (f->failing && f->timer.at_us < retry_us) {
+        evl_arm(f->m->o.loop, &f->timer, retry_us);
+    }
+}
+
 void
 mirror_receive(Mirror *m, const Gossip *w, int64_t now_us)
 {
@@ -166,14 +180,15 @@
         break;
     case GOSSIP_NEXT:
         m->source = "gossip";
+        int64_t known_us = f->partial_us;
         kvcache_apply_events(f->cache, &w->page, NULL, now_us);
         f->missed = f->missed && kvcache_rev(f->cache) < f->missed_rev;
         /* The message may have waited in the socket of this VM. */
         mirror_feed_confirm(f, evl_since(m->o.loop) - w->age_us);
         /* A VM whose calls the store refuses stays current by gossip. */
-        if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed) {
-            m->deferred++;
-            mirror_feed_pause(f, true, now_us);
+        if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed &&
+            f->partial_us > known_us) {
+            defer_watch(f, now_us);
         }
         break;
     case GOSSIP_MISSING:
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -270,6 +270,27 @@
 }
 END_TEST
 
+/* Guards against a VM whose calls are put off by gossip that proves nothing
+ * about its copy, as that of a VM of whose clock nothing is known. */
+START_TEST(gossip_of_unknown_age_defers_no_calls)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 503, "{}"},
+        {"after=10&", 200, EVENTS("", "10")},
+        {NULL, 0, NULL},
+    };
+
+    /* The pause after a failed call is 0.2 s at most. */
+    run_with_gossip(&s, script, PROPAGATION_US, 9, INT64_C(3600000000));
+    int n = s.n_calls_at_gossip;
+    ck_assert_int_gt(s.n_calls, n);
+    ck_assert_int_lt(s.call_us[n] - s.call_us[n - 1], 250000);
+    ck_assert_int_gt(s.call_us[n] - s.call_us[n - 1], 90000);
+}
+END_TEST
+
 /* Guards against a VM that takes gossip for as recent as its arrival, and
  * learns late of what has changed since its sender read the store. */
 START_TEST(old_gossip_defers_the_watch_by_what_is_left)
@@ -421,6 +442,7 @@
        resync_is_in_time_if_copies_lag, list_of_store_ends_resync,
        a_list_that_lacks_a_key_is_not_current,
        gossip_defers_calls_while_store_refuses,
+       gossip_of_unknown_age_defers_no_calls,
        old_gossip_defers_the_watch_by_what_is_left,
        a_wait_that_was_cut_short_confirms_no_time_after_its_answer,
        a_whole_wait_confirms_its_end,
