Do not cancel an answer that is arriving to ask for the newest version (review)

Callers saw: nothing measured; found by the review, by reading. On a slow link the newest configuration may be on its way in the answer of a watch when a heartbeat names it; the call was cancelled and its value asked for again. Change: the question waits while an answer is being received, and is asked at a later tick. Result: build/test_mirror_heard 4 of 4; no test plays the slow link.

--- a/src/mirror_heard.c
+++ b/src/mirror_heard.c
@@ -12,6 +12,8 @@
         }
         if (!f->listed || f->listing || f->relist || f->confirming ||
             f->urgent_pending || f->failing ||
+            (kv_busy(f->conn) &&
+             (kv_unread(f->conn) || kv_received(f->conn) > 0)) ||
             resync_lacks_changes(f->resync)) {
             return false;
         }
