Count an echo from when its heartbeat was read (review)

Callers saw: nothing measured; found by the review. Cause: the echo of a heartbeat counted from the time of the loop's turn, which may be before the arrival when the process is paused within the turn. The bound of the own time was then too high by the pause, for a long time: gossip that is 2.0 s old got an age of 0.1 s. A clock that halts, as that of a virtual machine that its host pauses, raised it too. Change: the echo counts from a clock reading after the datagram was read. A heartbeat that would have been sent in the future ends what is known of the clock.

--- a/src/gossip.h
+++ b/src/gossip.h
@@ -58,8 +58,8 @@
     uint64_t to;
     const KvItem *const *items;
     int n;
-    int64_t age_us;   /* all changes older than this are in the message, or
-                         before "from" */
+    int64_t age_us; /* all changes older than this are in the message, or
+                       before "from" */
     GossipSender sender;
     int64_t known_us; /* age_us as a time of the sender's clock */
 } GossipOut;
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -109,7 +109,7 @@
     char buf[DGRAM_BYTES_MAX];
 
     p->echo_us = v->heartbeat_sent_us;
-    p->echo_delay_us = p->sent_us - v->heartbeat_us;
+    p->echo_delay_us = p->sent_us - v->heartbeat_read_us;
     size_t n = peer_encode(p, buf, sizeof(buf));
     peer_send(b->o.peer, &v->peer, buf, n);
     if (b->verdicts_bytes > 0) {
@@ -199,12 +199,16 @@
     if (v->boot_ms != in->boot_ms) {
         v->clock = (PeerClock){0};
     }
+    /* now_us may be from before the arrival, if the process was paused. */
+    int64_t read_us = evl_boottime();
+    peerclock_check(&v->clock, in->sent_us, read_us);
     if (has_echo) {
         vml_observe_rtt(v, rtt_us);
         peerclock_observe(&v->clock, in->sent_us, in->echo_us,
                           in->echo_delay_us, now_us);
     }
     v->heartbeat_us = now_us;
+    v->heartbeat_read_us = read_us;
     v->heartbeat_sent_us = in->sent_us;
     v->leaving = in->leaving;
     v->boot_ms = in->boot_ms;
--- a/src/peerclock.c
+++ b/src/peerclock.c
@@ -21,6 +21,14 @@
     }
 }
 
+void
+peerclock_check(PeerClock *c, int64_t sent_us, int64_t now_us)
+{
+    if (c->known && sent_us + offset_at(c, now_us) > now_us) {
+        c->known = false;
+    }
+}
+
 bool
 peerclock_own_time(const PeerClock *c, int64_t peer_us, int64_t now_us,
                    int64_t *own_us)
--- a/src/peerclock.h
+++ b/src/peerclock.h
@@ -25,6 +25,10 @@
 void peerclock_observe(PeerClock *c, int64_t sent_us, int64_t echo_us,
                        int64_t echo_delay_us, int64_t now_us);
 
+/* Forgets what is known if it says that a heartbeat which arrived by now_us
+ * was sent later: one of the clocks has halted or jumped. */
+void peerclock_check(PeerClock *c, int64_t sent_us, int64_t now_us);
+
 /* Sets *own_us to the least own time at that time of the other clock.  Returns
  * false if nothing is known about that clock. */
 bool peerclock_own_time(const PeerClock *c, int64_t peer_us, int64_t now_us,
--- a/src/vml.c
+++ b/src/vml.c
@@ -163,6 +163,7 @@
         if (prev.boot_ms == v->boot_ms) {
             old->ended_boot_ms = prev.ended_boot_ms;
             old->heartbeat_us = prev.heartbeat_us;
+            old->heartbeat_read_us = prev.heartbeat_read_us;
             old->heartbeat_sent_us = prev.heartbeat_sent_us;
             old->clock = prev.clock;
             old->echo_asked_us = prev.echo_asked_us;
--- a/src/vml.h
+++ b/src/vml.h
@@ -35,6 +35,7 @@
                                 bring a later one */
     uint64_t ended_boot_ms;  /* start before that; 0: not known */
     int64_t heartbeat_us; /* when its last heartbeat was received; 0: none */
+    int64_t heartbeat_read_us; /* the same, not before it arrived */
     /* When it sent that heartbeat, by its own clock. */
     int64_t heartbeat_sent_us;
     int64_t rtt_us; /* round-trip time to it; 0: not known */
--- a/tests/test_peerclock.c
+++ b/tests/test_peerclock.c
@@ -76,6 +76,22 @@
 }
 END_TEST
 
+/* Guards against a bound that a clock which halted for a while, as that of a
+ * paused virtual machine, makes too high for good. */
+START_TEST(a_heartbeat_from_the_future_ends_the_bound)
+{
+    PeerClock c = {0};
+    int64_t own_us;
+
+    observe(&c, 100, 3, 40, 3);
+    peerclock_check(&c, PEER_START + 10300 * MS, OWN_START + 10310 * MS);
+    ck_assert_int_eq(age_ms(&c, 10300, 10310), 23);
+    /* The own clock has halted for 10 s. */
+    peerclock_check(&c, PEER_START + 20600 * MS, OWN_START + 10610 * MS);
+    ck_assert(!peerclock_own_time(&c, PEER_START, OWN_START, &own_us));
+}
+END_TEST
+
 /* Guards against clocks that drift apart after the last heartbeat. */
 START_TEST(an_old_echo_proves_less)
 {
@@ -98,5 +114,6 @@
 
 T_MAIN("peerclock", age_includes_the_way_of_a_message,
        age_is_never_too_low_when_all_messages_are_late,
-       a_late_heartbeat_replaces_no_better_one, an_old_echo_proves_less,
+       a_late_heartbeat_replaces_no_better_one,
+       a_heartbeat_from_the_future_ends_the_bound, an_old_echo_proves_less,
        nothing_is_known_without_an_echo)
