Ignore a lower version that is stored later, as before

Callers saw: nothing; the run of all tests on failed in platform_path (no_way_back: 404 instead of 200) and platform_odd_entries (odd_version). Cause: took each configuration of a later revision, also one whose version is below the one in force; and put rev= and by= before error= in the line of an unreadable one, which the test reads in order. Change: a later revision with a version that is not above the one in force is ignored, with a warning (event=ignored). A lower version is taken, with event=version_back, when its revision is not above that of the one in force: the store came back from an older copy. rev= and by= follow error=.

--- a/src/view.c
+++ b/src/view.c
@@ -76,10 +76,10 @@
     if (t == NULL) {
         v->unreadable++;
         dlog_event(v->o.log, DLOG_WARN, "config",
-                   "event=unreadable in_force=%" PRIu64 " rev=%" PRIu64
-                   " by=%s error=\"%s\"",
-                   current_version(v), rev, source_name(v),
-                   dlog_quoted(e.text).s);
+                   "event=unreadable in_force=%" PRIu64 " error=\"%s\""
+                   " rev=%" PRIu64 " by=%s",
+                   current_version(v), dlog_quoted(e.text).s, rev,
+                   source_name(v));
         return;
     }
     if (v->table != NULL && rt_version(t) <= rt_version(v->table)) {
@@ -87,13 +87,18 @@
             rt_unref(t); /* listed again */
             return;
         }
-        /* The cache of the store's keys orders by revision, so this is what
-         * the store holds, and what other VMs use. */
+        /* A later revision with a lower version was written by mistake.  A
+         * store that came back from an older copy holds what it has. */
+        bool taken = rev <= v->table_rev;
         dlog_event(v->o.log, DLOG_WARN, "config",
-                   "event=version_back version=%" PRIu64 " rev=%" PRIu64
+                   "event=%s version=%" PRIu64 " rev=%" PRIu64
                    " by=%s in_force=%" PRIu64 " in_force_rev=%" PRIu64,
-                   rt_version(t), rev, source_name(v), current_version(v),
-                   v->table_rev);
+                   taken ? "version_back" : "ignored", rt_version(t), rev,
+                   source_name(v), current_version(v), v->table_rev);
+        if (!taken) {
+            rt_unref(t);
+            return;
+        }
     }
     dlog_event(v->o.log, DLOG_INFO, "config",
                "event=in_force version=%" PRIu64 " before=%" PRIu64
