--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,12 @@
+#!/bin/sh
+# Builds the stand-ins of the cases of the second review into build/review-2.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p build/review-2
+for case in drill; do
+    # shellcheck disable=SC2046
+    cc -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra \
+        -o "build/review-2/$case" "review/standin2/$case.c" \
+        review/standin2/fleet.c review/standin2/plat.c \
+        $(pkg-config --cflags --libs glib-2.0) -lpthread
+done
