Review case 8: a burst of uploads exceeds the memory of an entry VM

The case shows that an entry VM passes the 260 MB of its machine in a burst of 12 MB uploads and is killed, which loses the requests that targets run for it (LOST). Idle connections to targets keep the buffer of the largest request that they carried, and nothing counts it.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p build/review-2
-for case in drill; do
+for case in drill upload; do
     # shellcheck disable=SC2046
     cc -std=gnu11 -D_GNU_SOURCE -O2 -g -Wall -Wextra \
         -o "build/review-2/$case" "review/standin2/$case.c" \
