standin-platform: let the store come back from an older copy

PUT /test/backup makes a copy, PUT /test/restore goes on from it: what was written since is lost, leases too, revisions and ids of leases are given out again, waiting watches end without an answer, and a watch from a revision that the store does not have gets 410. All answers of the store name its era in the header Store-Era, which rises by one with each restore; PUT /test/era sets or omits it.

No program reads the header yet.

--- a/standins/platform.c
+++ b/standins/platform.c
@@ -42,6 +42,11 @@
  *   PUT  /test/back?N      the revision of the store falls by N, as that of a
  *                          store that came back from an older copy; keys
  *                          changed since are lost
+ *   PUT  /test/backup      a copy of the store is made
+ *   PUT  /test/restore     the store goes on from that copy: what was written
+ *                          since is lost, leases too, revisions and leases are
+ *                          given out again, and the era rises by one
+ *   PUT  /test/era?N       the answers name that era; 0: none
  *   PUT  /test/lag?MS      Serializable lists are those of that time ago, with
  *                          the revision that the store had then
  *   PUT  /test/endless?K   the store responds to all calls without end, see
@@ -183,6 +188,7 @@
     static const CallerFns store_fns = {on_store_call, on_store_disconnected,
                                         NULL, on_refused, NULL};
 
+    p->era = STANDIN_ERA;
     p->items = g_ptr_array_new_with_free_func(item_free);
     p->history = g_queue_new();
     p->leases = g_array_new(FALSE, TRUE, sizeof(Lease));
--- a/standins/platform_endless.h
+++ b/standins/platform_endless.h
@@ -167,7 +167,7 @@
         const char *kind = strchr(path, '?');
         g_strlcpy(p->endless_kind, kind == NULL ? "" : kind + 1,
                   sizeof(p->endless_kind));
-        respond(c, 200, "{}");
+        respond(p, c, 200, "{}");
     }
     else if (g_str_has_prefix(path, "/test/") ||
              !endless_begin(p, c, p->endless_kind, head, now_us)) {
--- a/standins/platform_history.h
+++ b/standins/platform_history.h
@@ -92,7 +92,7 @@
         g_string_append_printf(g, "],\"CurrentRev\":%" G_GUINT64_FORMAT "}",
                                n < WATCH_EVENTS ? p->rev : last_rev);
         caller_set_user(w->caller, NULL);
-        respond(w->caller, 200, g->str);
+        respond(p, w->caller, 200, g->str);
     }
     g_string_free(g, TRUE);
     return done;
--- a/standins/platform_state.h
+++ b/standins/platform_state.h
@@ -13,6 +13,7 @@
 #include "caller.h"
 #include "evl.h"
 #include "pf.h"
+#include "platform_era.h"
 #include "platform_sizes.h"
 
 #define MAX_TARGETS 32
@@ -54,6 +55,14 @@
     int64_t ttl_us;
 } Lease;
 
+/* A copy of the store, from which it can come back. */
+typedef struct Backup {
+    GPtrArray *items; /* Item */
+    GArray *leases;   /* Lease */
+    uint64_t rev;
+    uint64_t last_lease_id;
+} Backup;
+
 typedef struct Watch {
     struct Platform *p;
     Caller *caller;
@@ -101,6 +110,8 @@
     GPtrArray *copy;   /* Item; what lists with Serializable=1 hold, NULL: the
                           present items */
     uint64_t copy_rev; /* CurrentRev of these lists, 0: that of the store */
+    uint64_t era;      /* sent with each answer of the store; 0: none is */
+    Backup *backup;    /* see PUT /test/backup; NULL: none */
     GQueue *history;   /* Event; in order of revision */
     uint64_t lost_rev; /* newest change that the history no longer holds */
     GArray *leases;    /* Lease */
@@ -128,14 +139,35 @@
 }
 
 static void
-respond(Caller *c, int status, const char *body)
+respond(const Platform *p, Caller *c, int status, const char *body)
 {
-    char head[96];
-
-    snprintf(head, sizeof(head),
-             "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n",
-             status);
+    char head[160];
+    int n = snprintf(
+        head, sizeof(head),
+        "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n", status);
+
+    if (p->era != 0) {
+        snprintf(head + n, sizeof(head) - (size_t)n,
+                 "Store-Era: %" G_GUINT64_FORMAT "\r\n", p->era);
+    }
     caller_respond(c, str_of(head), body, strlen(body));
 }
 
+/* Returns a copy of the items. */
+static GPtrArray *
+copy_items(const GPtrArray *items)
+{
+    GPtrArray *out = g_ptr_array_new_with_free_func(item_free);
+
+    for (guint i = 0; i < items->len; i++) {
+        const Item *from = g_ptr_array_index(items, i);
+        Item *it = g_new0(Item, 1);
+        *it = *from;
+        it->key = g_strdup(from->key);
+        it->encoded = g_strdup(from->encoded);
+        g_ptr_array_add(out, it);
+    }
+    return out;
+}
+
 #endif
--- a/standins/platform_store.h
+++ b/standins/platform_store.h
@@ -82,18 +82,62 @@
     if (*rev == '\0') {
         return;
     }
-    p->copy = g_ptr_array_new_with_free_func(item_free);
-    for (guint i = 0; i < p->items->len; i++) {
-        const Item *from = g_ptr_array_index(p->items, i);
-        Item *it = g_new0(Item, 1);
-        *it = *from;
-        it->key = g_strdup(from->key);
-        it->encoded = g_strdup(from->encoded);
-        g_ptr_array_add(p->copy, it);
-    }
+    p->copy = copy_items(p->items);
     p->copy_rev = strcmp(rev, "own") == 0 ? p->rev : 0;
 }
 
+static void
+drop_backup(Platform *p)
+{
+    if (p->backup != NULL) {
+        g_ptr_array_unref(p->backup->items);
+        g_array_unref(p->backup->leases);
+        g_clear_pointer(&p->backup, g_free);
+    }
+}
+
+static void
+make_backup(Platform *p)
+{
+    drop_backup(p);
+    p->backup = g_new(Backup, 1);
+    *p->backup = (Backup){.items = copy_items(p->items),
+                          .leases = g_array_copy(p->leases),
+                          .rev = p->rev,
+                          .last_lease_id = p->last_lease_id};
+}
+
+/* Goes on from the backup, in the next era.  Watches that wait end without an
+ * answer. */
+static void
+restore_backup(Platform *p)
+{
+    Backup *b = p->backup;
+
+    if (b == NULL) {
+        return;
+    }
+    for (guint i = p->watches->len; i-- > 0;) {
+        Watch *w = g_ptr_array_index(p->watches, i);
+        Caller *c = w->caller;
+        caller_set_user(c, NULL);
+        watch_free(w);
+        caller_abort(c);
+    }
+    g_ptr_array_unref(p->items);
+    p->items = copy_items(b->items);
+    g_array_unref(p->leases);
+    p->leases = g_array_copy(b->leases);
+    p->rev = b->rev;
+    p->last_lease_id = b->last_lease_id;
+    for (Event *ev = g_queue_peek_tail(p->history);
+         ev != NULL && ev->item.rev > p->rev;
+         ev = g_queue_peek_tail(p->history)) {
+        event_free(g_queue_pop_tail(p->history));
+    }
+    p->era++;
+}
+
 /* Values that were replaced since are not kept: their keys are lost. */
 static void
 go_back(Platform *p, uint64_t n)
@@ -145,7 +189,7 @@
         partial || n < found->len ? "true" : "false", MAX(rev, 1));
     g_ptr_array_free(found, TRUE);
     if (!partial || after == NULL) {
-        respond(c, 200, g->str);
+        respond(p, c, 200, g->str);
     }
     g_string_free(g, TRUE);
     g_free(after);
@@ -166,10 +210,11 @@
     w->timer = (EvlTimer){.fn = on_watch_end, .ctx = w};
     g_ptr_array_add(p->watches, w);
     drop_old_events(p, now_us);
-    if (p->mode == MODE_FORGET || w->after_rev < p->lost_rev) {
+    if (p->mode == MODE_FORGET || w->after_rev < p->lost_rev ||
+        (p->backup != NULL && w->after_rev > p->rev)) {
         p->mode = p->mode == MODE_FORGET ? MODE_OK : p->mode;
         watch_free(w);
-        respond(c, 410, "{}");
+        respond(p, c, 410, "{}");
     }
     else if (respond_to_watch(w, UINT64_MAX, false)) {
         watch_free(w);
@@ -197,7 +242,7 @@
     snprintf(body, sizeof(body),
              "{\"Lease\":%" G_GUINT64_FORMAT ",\"Ttl_time\":\"%lldms\"}", x.id,
              (long long)(x.ttl_us / 1000));
-    respond(c, 200, body);
+    respond(p, c, 200, body);
     g_free(text);
 }
 
@@ -226,14 +271,14 @@
     uint64_t id = lease == NULL ? 0 : g_ascii_strtoull(lease, NULL, 10);
 
     if (id != 0 && find_lease(p, id) == NULL) {
-        respond(c, 404, "{}");
+        respond(p, c, 404, "{}");
     }
     else if (key == NULL || value == NULL) {
-        respond(c, 400, "{}");
+        respond(p, c, 400, "{}");
     }
     else {
         put(p, key, value, id);
-        respond(c, 200, "{\"Rev\":1}");
+        respond(p, c, 200, "{\"Rev\":1}");
     }
     g_free(text);
     g_free(key);
@@ -248,12 +293,12 @@
     Lease *l = find_lease(p, g_ascii_strtoull(id, NULL, 10));
 
     if (l == NULL) {
-        respond(c, 404, "{}");
+        respond(p, c, 404, "{}");
         return;
     }
     l->end_us = end ? 0 : now_us + l->ttl_us;
     expire_leases(p, now_us);
-    respond(c, 200, "{}");
+    respond(p, c, 200, "{}");
 }
 
 static Target *
@@ -391,6 +436,15 @@
     else if (strcmp(what, "back") == 0) {
         go_back(p, g_ascii_strtoull(arg, NULL, 10));
     }
+    else if (strcmp(what, "backup") == 0) {
+        make_backup(p);
+    }
+    else if (strcmp(what, "restore") == 0) {
+        restore_backup(p);
+    }
+    else if (strcmp(what, "era") == 0) {
+        p->era = g_ascii_strtoull(arg, NULL, 10);
+    }
     else if (strcmp(what, "lag") == 0) {
         p->lag_us = 1000 * atoll(arg);
     }
@@ -400,7 +454,7 @@
     else if (!format_counts(p, what, arg, out, sizeof(out)) && t != NULL) {
         change_target(t, what, body);
     }
-    respond(c, 200, out);
+    respond(p, c, 200, out);
     g_strfreev(parts);
 }
 
@@ -414,7 +468,7 @@
         on_control(p, c, path + strlen("/test/"), req);
     }
     else if (p->mode == MODE_BUSY || p->mode == MODE_REFUSE) {
-        respond(c, p->mode == MODE_BUSY ? 503 : 429, "{}");
+        respond(p, c, p->mode == MODE_BUSY ? 503 : 429, "{}");
     }
     else if (p->mode == MODE_SILENT) {
         caller_set_user(c, NULL);
@@ -439,7 +493,7 @@
                         now_us);
     }
     else {
-        respond(c, 404, "{}");
+        respond(p, c, 404, "{}");
     }
     g_free(path);
 }
