Know which history of the store a revision belongs to

Cause: the store gives its revisions out again. No code read the header Store-Era; a store that came back was recognised only by a revision below the VM's position. Where the new revisions have passed that position before the VM's first call, its watch goes on from it and misses all that lies below. The class: a revision is compared without asking which history it belongs to.

Change: kvhist knows the current history. kv looks at the number that each answer of each call names, whatever its status. The first answer of a later history ends all calls and pauses; all keys are listed from the store at once, and the VM writes its entry with a new lease, as the id of the former one may be another VM's. Answers of a former history are not used. Gossip and heartbeats name the history: those of a former one are ignored, a later one makes the VM ask the store. A missing, unreadable or lower number begins no history. Messages stay readable for earlier programs.

Why it works: behind these places all revisions are of one history, so that the existing comparisons hold again; no watch goes on from a former position.

--- a/src/edge.c
+++ b/src/edge.c
@@ -177,6 +177,15 @@
     px_store_failed(g->px, now_us);
 }
 
+static void
+on_history_begun(void *ctx)
+{
+    Edge *g = ctx;
+
+    view_begin_history(g->view);
+    heard_begin_history(&g->heard);
+}
+
 static void
 on_announce(void *ctx, const GossipOut *o)
 {
@@ -188,7 +197,8 @@
 {
     Edge *g = ctx;
 
-    if (heartbeat_receive(g->heartbeats, hb, now_us)) {
+    if (heartbeat_receive(g->heartbeats, hb, now_us) &&
+        mirror_hear_history(g->mirror, hb->history, now_us)) {
         edge_heard(g, hb, now_us);
     }
 }
@@ -363,6 +373,7 @@
     if (now_us - g->heartbeat_us >= HEARTBEAT_US) {
         g->heartbeat_us = now_us;
         const RtTable *t = view_routes(g->view);
+        heartbeat_set_history(g->heartbeats, mirror_history(g->mirror));
         heartbeat_set_config(g->heartbeats, view_config_rev(g->view),
                              t == NULL ? 0 : rt_version(t));
         heartbeat_send(g->heartbeats, g->shutting_down, now_us);
@@ -514,6 +525,7 @@
                 .urgent = on_urgent_current,
                 .failed = on_store_failure,
                 .confirmed = on_confirmed,
+                .history_begun = on_history_begun,
                 .announce = on_announce},
         .ctx = g,
     };
--- a/src/edge_listen.c
+++ b/src/edge_listen.c
@@ -58,6 +58,7 @@
         "edge_bad_heartbeats_total %" PRId64
         "\nedge_unreadable_entries_total %" PRId64
         "\nedge_store_items_dropped_total %" PRId64
+        "\nedge_store_histories_total %" PRId64
         "\nedge_gossip_missing_total %" PRId64
         "\nedge_gossip_incomplete_total %" PRId64
         "\nedge_datagrams_unsent_total %" PRId64
@@ -67,9 +68,10 @@
         rt == NULL ? 0 : rt_version(rt), vml_count(g->vms), mc.calls,
         mc.watches_deferred, heartbeat_gossip_sent(g->heartbeats),
         callers_open(g->callers), peer_unreadable(g->peer),
-        view_unreadable(g->view), mc.items_dropped, mc.gossip_missing,
-        peer_incomplete(g->peer), peer_unsent(g->peer), g->heard_asks,
-        g->heard_refuted, heartbeat_gossip_ignored(g->heartbeats));
+        view_unreadable(g->view), mc.items_dropped, mc.histories,
+        mc.gossip_missing, peer_incomplete(g->peer), peer_unsent(g->peer),
+        g->heard_asks, g->heard_refuted,
+        heartbeat_gossip_ignored(g->heartbeats));
     hist_text(evl_event_delays(g->loop), "edge_delay_ms", "part=\"event\"", t);
     hist_text(evl_timer_delays(g->loop), "edge_delay_ms", "part=\"timer\"", t);
     for (int i = 0; i < CALLER_ENDS; i++) {
--- a/src/gossip.c
+++ b/src/gossip.c
@@ -12,11 +12,12 @@
 #define MAGIC 0x6d696e34U /* "min4": format version 4 */
 /* Magic, checksum, sender, feed, from, to, known, age, count. */
 #define HEAD_SIZE 60
-#define SUM_AT 4             /* offset of the checksum in the head */
-#define SUMMED_AT 8          /* it covers the bytes from here on */
-#define AGE_AT 52            /* offset of the age in the head */
-#define ITEM_SIZE 20         /* revision, deleted, lengths */
-#define ITEMS_MAX 64         /* items in a datagram */
+#define SUM_AT 4     /* offset of the checksum in the head */
+#define SUMMED_AT 8  /* it covers the bytes from here on */
+#define AGE_AT 52    /* offset of the age in the head */
+#define TAIL_SIZE 8  /* history; missing from a VM that knows of none */
+#define ITEM_SIZE 20 /* revision, deleted, lengths */
+#define ITEMS_MAX 64 /* items in a datagram */
 #define WHOLE_ITEMS_MAX 4096 /* items in a fragmented message */
 #define ITEM_KEY_BYTES 200   /* longest key of the store */
 #define AGE_MS_MAX 3600000
@@ -119,7 +120,7 @@
 static size_t
 message_size(const GossipOut *o)
 {
-    size_t size = HEAD_SIZE;
+    size_t size = HEAD_SIZE + TAIL_SIZE;
 
     for (int i = 0; i < o->n; i++) {
         size += item_size(o->items[i]);
@@ -137,6 +138,7 @@
     GossipSender sender = o->sender;
     int feed = o->feed;
     u_quad_t to = o->to;
+    u_quad_t history = o->history;
     int64_t known_us = o->known_us;
     u_int age_ms = (u_int)CLAMP((o->age_us + 999) / 1000, 0, AGE_MS_MAX);
     XDR x;
@@ -150,6 +152,7 @@
     for (int i = 0; ok && i < n; i++) {
         ok = encode_item(&x, o->items[i]);
     }
+    ok = ok && xdr_u_int64_t(&x, &history);
     size_t len = ok ? xdr_getpos(&x) : 0;
     xdr_destroy(&x);
     if (len > 0) {
@@ -248,6 +251,12 @@
         }
         g_array_append_val(w->page.items, it);
     }
+    u_quad_t history = 0;
+    bool has_history = x->x_handy >= TAIL_SIZE;
+    if (has_history && !xdr_u_int64_t(x, &history)) {
+        return false;
+    }
+    w->history = history;
     return true;
 }
 
--- a/src/gossip.h
+++ b/src/gossip.h
@@ -40,6 +40,8 @@
  * since that revision. */
 typedef struct Gossip {
     int feed; /* index of the watched prefix, see MirrorOpts.prefixes */
+    uint64_t history; /* of the store, which the revisions belong to; 0: that
+                         is not known */
     uint64_t from;
     int64_t age_us;   /* all changes older than this were known to the sender;
                          counts from evl_since() at the arrival of the last
@@ -54,6 +56,7 @@
  * revision "to". */
 typedef struct GossipOut {
     int feed;
+    uint64_t history;
     uint64_t from;
     uint64_t to;
     const KvItem *const *items;
--- a/src/gossipsend.c
+++ b/src/gossipsend.c
@@ -81,11 +81,11 @@
 gossipsend_datagrams(const GossipOut *o, uint64_t id)
 {
     GossipDatagrams d = {g_ptr_array_new_with_free_func(unref_bytes), NULL};
-    GossipOut last = {
-        .feed = o->feed, .from = o->to, .to = o->to, .sender = o->sender};
+    GossipOut last = *o; /* without items */
 
-    last.age_us = o->age_us;
-    last.known_us = o->known_us;
+    last.from = o->to;
+    last.items = NULL;
+    last.n = 0;
     if (!gossip_fits(o)) {
         d.paced = gossipfrag_split(o, id);
     }
--- a/src/heard.c
+++ b/src/heard.c
@@ -115,6 +115,13 @@
     return false;
 }
 
+void
+heard_begin_history(Heard *h)
+{
+    h->n = 0;
+    h->n_refuted = 0;
+}
+
 int64_t
 heard_since(const Heard *h, uint64_t rev)
 {
--- a/src/heard.h
+++ b/src/heard.h
@@ -60,6 +60,10 @@
  * is above own_rev to *refuted, and returns true; false: no further one. */
 bool heard_answered(Heard *h, uint64_t own_rev, HeardClaim *refuted);
 
+/* The store has begun another history: what was said is forgotten, as its
+ * revisions are of the former one. */
+void heard_begin_history(Heard *h);
+
 /* Time of the first claim that revision rev answers; 0: none. */
 int64_t heard_since(const Heard *h, uint64_t rev);
 
--- a/src/heartbeat.c
+++ b/src/heartbeat.c
@@ -26,6 +26,7 @@
     int64_t ignored;        /* gossip datagrams of other senders */
     int64_t ignored_log_us; /* last line about them; 0: none */
     bool leaving;
+    uint64_t history;
     uint64_t config_rev;
     uint64_t config_version;
     /* Verdicts on requests that crash upstreams, sent beside heartbeats. */
@@ -48,6 +49,12 @@
     g_free(b);
 }
 
+void
+heartbeat_set_history(Heartbeats *b, uint64_t history)
+{
+    b->history = history;
+}
+
 void
 heartbeat_set_config(Heartbeats *b, uint64_t rev, uint64_t version)
 {
@@ -164,6 +171,7 @@
 {
     PeerHeartbeat p = {.boot_ms = b->o.boot_ms,
                        .leaving = leaving,
+                       .history = b->history,
                        .config_rev = b->config_rev,
                        .config_version = b->config_version,
                        .sent_us = now_us};
@@ -230,6 +238,7 @@
     PeerHeartbeat p = {.boot_ms = b->o.boot_ms,
                        .leaving = b->leaving,
                        .wants_echo = wants_echo,
+                       .history = b->history,
                        .config_rev = b->config_rev,
                        .config_version = b->config_version,
                        .sent_us = now_us};
--- a/src/heartbeat.h
+++ b/src/heartbeat.h
@@ -44,8 +44,9 @@
 Heartbeats *heartbeat_new(const HeartbeatsOpts *o);
 void heartbeat_free(Heartbeats *b);
 
-/* Sets what heartbeats say about the configuration in force; see
- * PeerHeartbeat. */
+/* Set what heartbeats say about the history of the store and the configuration
+ * in force; see PeerHeartbeat. */
+void heartbeat_set_history(Heartbeats *b, uint64_t history);
 void heartbeat_set_config(Heartbeats *b, uint64_t rev, uint64_t version);
 
 /* Sends heartbeats to a few VMs.  leaving: this VM is shutting down. */
--- a/src/kv.c
+++ b/src/kv.c
@@ -22,6 +22,7 @@
     XferLimit limit;
     XferBacklog *backlog;
     XferBacklog own_backlog; /* unless another is shared */
+    KvHist *history;         /* may be NULL */
     size_t bytes_max;        /* of the body of an answer */
     guint unparsed; /* bytes of the answer that arrived before and are not read
                      */
@@ -84,20 +85,43 @@
     }
 }
 
+/* Returns the history that the answer names.  One that is not used, as it did
+ * not arrive whole or is too large, names one, too. */
+static KvHistOrder
+answer_history(const KvConn *c)
+{
+    const H1 *a = &c->answer;
+
+    if (c->history == NULL || !a->has_head || a->state == H1_ERROR) {
+        return KVHIST_CURRENT;
+    }
+    return kvhist_answer(c->history, h1_get(a, c->history->header));
+}
+
 static void
 finish(KvConn *c, int status)
 {
     KvDone done = c->done;
     Str body = {(const char *)c->answer.body->data, c->answer.body->len};
+    KvHist *h = c->history;
+    uint64_t before = h == NULL ? 0 : h->current;
+    KvHistOrder order = answer_history(c);
 
     if (status <= KV_NO_ANSWER || !c->answer.keep || c->strm.in->len > 0) {
         kv_disconnect(c);
     }
     evl_disarm(c->loop, &c->timer);
     c->done = NULL;
+    if (order != KVHIST_CURRENT) {
+        status = order == KVHIST_LATER ? KV_LATER : KV_FORMER;
+        body = (Str){NULL, 0};
+    }
     if (done != NULL) {
         done(c->ctx, status, body, evl_now(c->loop));
     }
+    if (order == KVHIST_LATER && h->begun != NULL) {
+        h->begun(h->ctx, before, evl_now(c->loop));
+    }
 }
 
 static void
@@ -234,6 +258,12 @@
     c->backlog = b == NULL ? &c->own_backlog : b;
 }
 
+void
+kv_share_history(KvConn *c, KvHist *h)
+{
+    c->history = h;
+}
+
 void
 kv_on_begin(KvConn *c, KvBegin fn, void *ctx)
 {
--- a/src/kv.h
+++ b/src/kv.h
@@ -17,6 +17,7 @@
 #include "dlog.h"
 #include "err.h"
 #include "evl.h"
+#include "kvhist.h"
 #include "limits.h"
 #include "str.h"
 #include "xferlimit.h"
@@ -54,6 +55,7 @@
 
 /* Functions that return a GString write a whole HTTP request. */
 typedef struct KvCodec {
+    const char *history_header; /* see KvHist.header */
     /* after: last key of the previous page, NULL for the first page; stale:
      * the answer may be seconds old and is cheaper. */
     GString *(*list)(const char *prefix, const char *after, bool stale);
@@ -78,6 +80,12 @@
 #define KV_NO_ANSWER 0    /* the call may have been or may yet be executed */
 #define KV_NOT_SENT (-1)  /* no connection; the call was not sent */
 #define KV_TOO_LARGE (-2) /* the answer exceeds the limit and was dropped */
+#define KV_FORMER                                                             \
+    (-3) /* the answer is of a former history, and was dropped                \
+          */
+/* The answer is the first one of a later history, and was dropped, as the call
+ * was made for another.  KvHist.begun is called next. */
+#define KV_LATER (-4)
 
 /* status: HTTP status, or one of the above. */
 typedef void (*KvDone)(void *ctx, int status, Str body, int64_t now_us);
@@ -91,6 +99,9 @@
 /* Lets connections to the same store know of each other's answers.  The
  * backlog is borrowed.  NULL: the connection has its own. */
 void kv_share_backlog(KvConn *c, XferBacklog *b);
+/* Looks at the history that each answer names.  h is borrowed; NULL: none is
+ * looked at. */
+void kv_share_history(KvConn *c, KvHist *h);
 bool kv_busy(const KvConn *c);
 
 /* Starts a call and takes ownership of the request.  The connection must not
--- a/src/kvcache.c
+++ b/src/kvcache.c
@@ -5,6 +5,7 @@
     uint32_t round; /* number of the last list that contained the key */
     uint64_t rev;
     bool removed; /* tombstone, see kvcache_keep_removed() */
+    bool former;  /* rev is of a former history */
 } Entry;
 
 struct KvCache {
@@ -14,6 +15,7 @@
     uint64_t rev;   /* see kvcache_rev() */
     bool keep_removed;
     int n_removed;       /* tombstones */
+    int n_former;        /* entries of a former history */
     GHashTable *entries; /* key -> Entry */
 };
 
@@ -43,6 +45,21 @@
     e->removed = removed;
 }
 
+static void
+set_former(KvCache *k, Entry *e, bool former)
+{
+    k->n_former += (former ? 1 : 0) - (e->former ? 1 : 0);
+    e->former = former;
+}
+
+/* Returns true if a change at that revision of the current history is later
+ * than the cached state of the key; e may be NULL. */
+static bool
+is_later(const Entry *e, uint64_t rev)
+{
+    return e == NULL || e->former || rev > e->rev;
+}
+
 /* Drops the tombstones that nothing older than the removal can follow. */
 static void
 drop_tombstones(KvCache *k)
@@ -74,6 +91,7 @@
     }
     e->round = k->round;
     e->rev = item->rev;
+    set_former(k, e, false);
     set_removed(k, e, item->deleted);
     k->changed(k->ctx, item->key, item->deleted ? NULL : item->value,
                item->rev, now_us);
@@ -99,8 +117,7 @@
         Entry *e = g_hash_table_lookup(k->entries, item->key);
         /* A key that an earlier list lacked was not removed if a later list
          * has it. */
-        if (e == NULL || item->rev > e->rev ||
-            (e->removed && p->rev >= e->rev)) {
+        if (is_later(e, item->rev) || (e->removed && p->rev >= e->rev)) {
             apply(k, item, now_us);
         }
         else {
@@ -115,7 +132,7 @@
     for (guint i = 0; i < p->items->len; i++) {
         const KvItem *item = &g_array_index(p->items, KvItem, i);
         Entry *e = g_hash_table_lookup(k->entries, item->key);
-        if (e == NULL || e->removed || item->rev != e->rev) {
+        if (e == NULL || e->former || e->removed || item->rev != e->rev) {
             apply(k, item, now_us);
         }
         else {
@@ -124,6 +141,52 @@
     }
 }
 
+void
+kvcache_begin_history(KvCache *k)
+{
+    GHashTableIter it;
+    gpointer v;
+
+    g_hash_table_iter_init(&it, k->entries);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        if (((const Entry *)v)->removed) {
+            g_hash_table_iter_remove(&it);
+        }
+        else {
+            set_former(k, v, true);
+        }
+    }
+    k->n_removed = 0;
+    k->rev = 0;
+}
+
+int
+kvcache_former(const KvCache *k)
+{
+    return k->n_former;
+}
+
+int
+kvcache_drop_former(KvCache *k, const char *but, int64_t now_us)
+{
+    GHashTableIter it;
+    gpointer key;
+    gpointer v;
+    int before = k->n_former;
+
+    g_hash_table_iter_init(&it, k->entries);
+    while (k->n_former > 0 && g_hash_table_iter_next(&it, &key, &v)) {
+        if (!((const Entry *)v)->former ||
+            (but != NULL && g_str_has_prefix(key, but))) {
+            continue;
+        }
+        k->changed(k->ctx, key, NULL, k->rev, now_us);
+        set_former(k, v, false);
+        g_hash_table_iter_remove(&it);
+    }
+    return before - k->n_former;
+}
+
 void
 kvcache_drop_newer(KvCache *k, uint64_t upto, int64_t now_us)
 {
@@ -134,7 +197,7 @@
     g_hash_table_iter_init(&it, k->entries);
     while (g_hash_table_iter_next(&it, &key, &v)) {
         Entry *e = v;
-        if (e->rev <= upto || e->round == k->round) {
+        if (e->former || e->rev <= upto || e->round == k->round) {
             continue;
         }
         if (!e->removed) {
@@ -158,7 +221,7 @@
     while (g_hash_table_iter_next(&it, &key, &v)) {
         Entry *e = v;
         uint32_t age = k->round - e->round;
-        if (e->removed || e->rev > upto || age == 0) {
+        if (e->removed || e->former || e->rev > upto || age == 0) {
             continue;
         }
         missing++;
@@ -195,7 +258,7 @@
             continue;
         }
         const Entry *e = g_hash_table_lookup(k->entries, item->key);
-        if (e == NULL || item->rev > e->rev) {
+        if (is_later(e, item->rev)) {
             apply(k, item, now_us);
         }
         if (following != NULL) {
@@ -211,7 +274,7 @@
     for (guint i = 0; i < p->items->len; i++) {
         const KvItem *item = &g_array_index(p->items, KvItem, i);
         const Entry *e = g_hash_table_lookup(k->entries, item->key);
-        if (item->rev > k->rev && (e == NULL || item->rev > e->rev)) {
+        if (item->rev > k->rev && is_later(e, item->rev)) {
             apply(k, item, now_us);
         }
     }
@@ -239,4 +302,5 @@
         g_hash_table_iter_remove(&it);
     }
     k->n_removed = 0;
+    k->n_former = 0;
 }
--- a/src/kvcache.h
+++ b/src/kvcache.h
@@ -4,7 +4,8 @@
  *
  * The content follows from the store's answers alone, in any order of lists,
  * events and copies of the store that are out of date: a key never returns to
- * an earlier revision, but by kvcache_replace().
+ * an earlier revision, but by kvcache_replace() or in a later history of the
+ * store (kvcache_begin_history()).
  */
 #ifndef MIMOSA_KVCACHE_H
 #define MIMOSA_KVCACHE_H
@@ -36,6 +37,18 @@
  * list holds counts, whatever the revision of the cached entry. */
 void kvcache_replace(KvCache *k, const KvPage *p, int64_t now_us);
 
+/* The store has begun another history.  The keys stay, but the revisions of
+ * the former history are no longer compared with: each item of the later one
+ * replaces its key, and a list that lacks a key does not remove it. */
+void kvcache_begin_history(KvCache *k);
+
+/* Number of the keys that only a former history had so far. */
+int kvcache_former(const KvCache *k);
+
+/* Removes those of them that do not begin with "but"; NULL: all.  Returns
+ * their number. */
+int kvcache_drop_former(KvCache *k, const char *but, int64_t now_us);
+
 /* Removes the keys with a revision above "upto" that the last list lacked. */
 void kvcache_drop_newer(KvCache *k, uint64_t upto, int64_t now_us);
 
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -23,7 +23,6 @@
  * longer than it rounds its timers up. */
 #define WAIT_END_EARLY_US 2000
 
-static void feed_list(Feed *f);
 static void feed_watch(Feed *f);
 
 static void
@@ -170,9 +169,8 @@
     notify_current(f->m, now_us);
 }
 
-/* Handles an answer of the store which shows that changes were missed. */
-static void
-changes_missed(Feed *f, int64_t now_us)
+void
+mirror_feed_changes_missed(Feed *f, int64_t now_us)
 {
     Mirror *m = f->m;
 
@@ -263,19 +261,35 @@
     }
 }
 
+/* Drops the keys of a stale list that was not confirmed. */
+static void
+drop_unconfirmed(Feed *f, int64_t now_us)
+{
+    kvcache_clear(f->cache, kvcache_rev(f->cache), now_us);
+    f->confirming = false;
+}
+
 static void
 on_list(void *ctx, int status, Str body, int64_t now_us)
 {
     Feed *f = ctx;
     KvPage p;
 
+    if (status == KV_LATER) {
+        return;
+    }
+    if (status == KV_FORMER && f->stale) {
+        /* The copy is older than an answer to another call. */
+        drop_unconfirmed(f, now_us);
+        f->listing = false;
+    }
     if (status != 200 || !kvpage_read(&f->pages, KVPAGE_LIST, body, &p)) {
         feed_failed(f, "list", status, now_us);
         return;
     }
     if (!f->stale && mirror_feed_rev_back(f, &p)) {
         kv_page_clear(&p);
-        feed_list(f);
+        mirror_feed_list(f);
         return;
     }
     mirror_feed_listed(f, &p);
@@ -286,15 +300,15 @@
         f->after =
             g_strdup(g_array_index(p.items, KvItem, p.items->len - 1).key);
         kv_page_clear(&p);
-        feed_list(f);
+        mirror_feed_list(f);
         return;
     }
     kv_page_clear(&p);
     list_complete(f, now_us);
 }
 
-static void
-feed_list(Feed *f)
+void
+mirror_feed_list(Feed *f)
 {
     if (!f->listing) {
         f->listing = true;
@@ -319,6 +333,9 @@
     Feed *f = ctx;
     KvPage p;
 
+    if (status == KV_LATER) {
+        return;
+    }
     if (status != 200 || !kvpage_read(&f->pages, KVPAGE_LIST, body, &p)) {
         feed_failed(f, "list", status, now_us);
         return;
@@ -328,7 +345,7 @@
         /* More than one page of urgent keys: list everything instead. */
         f->asked = false;
         kv_page_clear(&p);
-        feed_list(f);
+        mirror_feed_list(f);
         return;
     }
     f->m->source = "operator_list";
@@ -362,14 +379,6 @@
               CALL_TIMEOUT_US, KV_ANSWER_BYTES_MAX, on_urgent);
 }
 
-/* Drops the keys of a stale list that was not confirmed. */
-static void
-drop_unconfirmed(Feed *f, int64_t now_us)
-{
-    kvcache_clear(f->cache, kvcache_rev(f->cache), now_us);
-    f->confirming = false;
-}
-
 /* Lists the keys instead of watching from a revision whose events the store
  * cannot or could not send. */
 static void
@@ -377,10 +386,10 @@
 {
     if (f->confirming || !f->listed) {
         drop_unconfirmed(f, now_us);
-        feed_list(f);
+        mirror_feed_list(f);
         return;
     }
-    changes_missed(f, now_us);
+    mirror_feed_changes_missed(f, now_us);
     f->urgent_pending = true;
     /* Few VMs miss so many changes; a dropped history is missed by all. */
     f->skip_copies = f->m->behind && status == KV_TOO_LARGE;
@@ -397,7 +406,7 @@
         mirror_feed_pause(f, false, now_us);
         return;
     }
-    feed_list(f);
+    mirror_feed_list(f);
 }
 
 static void
@@ -406,6 +415,9 @@
     Feed *f = ctx;
     KvPage p;
 
+    if (status == KV_LATER) {
+        return;
+    }
     /* The size of a watch's answer has no limit, unlike that of a page. */
     if (status == 410 || status == KV_TOO_LARGE) {
         dlog_event(f->m->o.log, DLOG_INFO, "store",
@@ -445,7 +457,7 @@
         dlog_event(f->m->o.log, DLOG_INFO, "store",
                    "event=behind prefix=%s rev=%" G_GUINT64_FORMAT, f->prefix,
                    kvcache_rev(f->cache));
-        changes_missed(f, now_us);
+        mirror_feed_changes_missed(f, now_us);
         feed_watch(f);
         return;
     }
@@ -502,7 +514,7 @@
         mirror_feed_list_urgent(f);
     }
     else if (!f->confirming && (f->listing || !f->listed || f->relist)) {
-        feed_list(f);
+        mirror_feed_list(f);
     }
     else {
         feed_watch(f);
@@ -553,8 +565,9 @@
     while (o->prefixes[m->n_feeds] != NULL) {
         m->n_feeds++;
     }
-    RegistrationOpts ro = {o->loop,  o->log, o->codec,
-                           o->store, o->rnd, &m->backlog};
+    mirror_init_history(m);
+    RegistrationOpts ro = {o->loop, o->log,      o->codec,   o->store,
+                           o->rnd,  &m->backlog, &m->history};
     m->registration = registration_new(&ro);
     m->feeds = g_new0(Feed, m->n_feeds);
     for (int i = 0; i < m->n_feeds; i++) {
@@ -564,6 +577,7 @@
         f->conn = kv_new(o->loop, &o->store, o->log);
         kv_share_backlog(f->conn, &m->backlog);
         kv_on_begin(f->conn, on_begin, f);
+        mirror_feed_init_history(f);
         f->cache = kvcache_new(on_key, f);
         f->pages = (KvPages){o->codec, o->log, f->prefix, 0};
         ResyncOpts go = {.loop = o->loop,
@@ -571,6 +585,7 @@
                          .pages = &f->pages,
                          .store = o->store,
                          .backlog = &m->backlog,
+                         .history = &m->history,
                          .rnd = o->rnd,
                          .prefix = f->prefix,
                          .propagation_us = o->propagation_us,
@@ -582,7 +597,7 @@
         f->timer = (EvlTimer){.fn = on_timer, .ctx = f};
         f->wait_end = (EvlTimer){.fn = on_wait_end, .ctx = f};
         f->too_old = (EvlTimer){.fn = on_too_old, .ctx = f};
-        feed_list(f);
+        mirror_feed_list(f);
     }
     return m;
 }
@@ -596,6 +611,7 @@
         evl_disarm(m->o.loop, &f->timer);
         evl_disarm(m->o.loop, &f->wait_end);
         evl_disarm(m->o.loop, &f->too_old);
+        evl_disarm(m->o.loop, &f->restore);
         kv_free(f->conn);
         kvcache_free(f->cache);
         g_free(f->after);
@@ -616,7 +632,8 @@
 {
     MirrorCounts c = {.calls = m->calls + registration_calls(m->registration),
                       .watches_deferred = m->deferred,
-                      .gossip_missing = m->missing};
+                      .gossip_missing = m->missing,
+                      .histories = m->histories};
 
     for (int i = 0; i < m->n_feeds; i++) {
         c.calls += resync_calls(m->feeds[i].resync);
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -47,6 +47,11 @@
     void (*failed)(void *ctx, int64_t now_us);
     /* All changes before at_us (boot time) are known.  May be NULL. */
     void (*confirmed)(void *ctx, int64_t at_us);
+    /* The store has begun another history (kvhist): the revisions that were
+     * passed to "changed" mean nothing any more.  All keys are listed again.
+     * Those that the list lacks stay for some time, in which they are likely
+     * to be written again.  May be NULL. */
+    void (*history_begun)(void *ctx);
     /* Changes to send to nearby VMs; valid during the call only. */
     void (*announce)(void *ctx, const GossipOut *o);
 } MirrorFns;
@@ -90,6 +95,14 @@
 /* Applies changes that another VM read from the store and forwarded. */
 void mirror_receive(Mirror *m, const Gossip *w, int64_t now_us);
 
+/* Number of the history of the store that the copy belongs to; see kvhist. */
+uint64_t mirror_history(const Mirror *m);
+
+/* Another VM has seen that history.  Returns true if it is the one of the
+ * copy, so that revisions of that VM may be compared.  If it is a later one,
+ * asks the store at once. */
+bool mirror_hear_history(Mirror *m, uint64_t history, int64_t now_us);
+
 /* Returns the name of what brought the last items: "list", "operator_list",
  * "watch", "gossip", "early_gossip" or "resync". */
 const char *mirror_source(const Mirror *m);
@@ -100,6 +113,7 @@
     int64_t watches_deferred; /* because of gossip from another VM */
     int64_t gossip_missing;   /* messages after which revisions are missing */
     int64_t items_dropped;    /* of lists and watches, as unreadable */
+    int64_t histories;        /* that the store has begun */
 } MirrorCounts;
 
 MirrorCounts mirror_counts(const Mirror *m);
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -107,6 +107,7 @@
                         evl_boottime() - f->watch_start_us,
                         since_failure_us)) {
         GossipOut o = {.feed = (int)(f - m->feeds),
+                       .history = m->history.current,
                        .from = from,
                        .to = kvcache_rev(f->cache),
                        .items = (const KvItem *const *)forward->pdata,
@@ -171,7 +172,8 @@
         return;
     }
     Feed *f = &m->feeds[w->feed];
-    if (f->listing || !f->listed || f->relist || f->urgent_pending ||
+    if (!mirror_hear_history(m, w->history, now_us) || f->listing ||
+        !f->listed || f->relist || f->urgent_pending ||
         now_us < f->gossip_from_us) {
         return;
     }
--- a/src/mirror_rev.c
+++ b/src/mirror_rev.c
@@ -66,6 +66,7 @@
         return;
     }
     kvcache_drop_newer(f->cache, kvcache_rev(f->cache), now_us);
+    mirror_feed_log_replaced(f, now_us);
     f->replacing = false;
     /* Other VMs learn of it by their own next watch, and may have sent what
      * the store has lost. */
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -1,6 +1,5 @@
 /*
- * mirror_state - state of a mirror, for mirror.c, mirror_gossip.c and
- * mirror_rev.c only.
+ * mirror_state - state of a mirror, for the parts of mirror only.
  */
 #ifndef MIMOSA_MIRROR_STATE_H
 #define MIMOSA_MIRROR_STATE_H
@@ -64,8 +63,12 @@
     bool lacked;         /* it holds a change that the copy had counted as
                             known */
     bool skip_copies;    /* the resync reads the store itself */
-    bool replacing;      /* the revision of the store has fallen; its next list
-                            counts whatever the revisions of the copy */
+    bool replacing;      /* the revision of the store has fallen, or it has
+                            begun another history; its next list counts
+                            whatever the revisions of the copy */
+    int64_t history_us;  /* when the history of the store began; steady time,
+                            0: it is the first one */
+    EvlTimer restore;    /* removes keys that were not written again since */
     bool rev_above;      /* the last answer of a watch had a revision above its
                             events */
     Resync *resync;
@@ -76,7 +79,11 @@
 struct Mirror {
     MirrorOpts o;
     Feed *feeds;
-    XferBacklog backlog; /* of all connections to the store */
+    XferBacklog backlog;      /* of all connections to the store */
+    KvHist history;           /* of all connections to the store */
+    int64_t histories;        /* begun so far */
+    int64_t history_asked_us; /* last call because of one that another VM has
+                                 seen; steady time, 0: none */
     int n_feeds;
     bool ready;
     bool behind;      /* MirrorFns.behind was called, and neither "current" nor
@@ -116,6 +123,19 @@
 /* Reads the urgent keys; the watch continues from their revision. */
 void mirror_feed_list_urgent(Feed *f);
 
+/* Lists all keys, or the next page of them. */
+void mirror_feed_list(Feed *f);
+
+/* An answer of the store shows that changes were missed. */
+void mirror_feed_changes_missed(Feed *f, int64_t now_us);
+
+/* Let the store begin another history; see MirrorFns.history_begun. */
+void mirror_init_history(struct Mirror *m);
+void mirror_feed_init_history(Feed *f);
+
+/* Logs what the first list of a history lacks. */
+void mirror_feed_log_replaced(const Feed *f, int64_t now_us);
+
 /* Applies the urgent keys that mirror_ask_urgent() read.  Returns true if the
  * copy lacked changes before its position, or its position is not one of the
  * store: then a resync has begun, and the position is that of the page. */
--- a/src/peer.c
+++ b/src/peer.c
@@ -15,6 +15,9 @@
 #define SLOT_SCALE 1000.0     /* slots are sent in thousandths */
 #define FLAG_LEAVING 1U
 #define FLAG_WANTS_ECHO 2U
+/* The number of the history is at the end.  VMs of earlier programs neither
+ * send nor read it. */
+#define FLAG_HISTORY 4U
 
 struct Peer {
     Evl *loop;
@@ -120,7 +123,9 @@
     u_quad_t config_rev = b->config_rev;
     u_quad_t config_version = b->config_version;
     u_int flags = (b->leaving ? FLAG_LEAVING : 0) |
-                  (b->wants_echo ? FLAG_WANTS_ECHO : 0);
+                  (b->wants_echo ? FLAG_WANTS_ECHO : 0) |
+                  (b->history != 0 ? FLAG_HISTORY : 0);
+    u_quad_t history = b->history;
     int64_t times[] = {b->sent_us, b->echo_us, b->echo_delay_us};
 
     if (!xdr_u_int(x, &magic) || magic != MAGIC ||
@@ -138,7 +143,12 @@
     b->sent_us = times[0];
     b->echo_us = times[1];
     b->echo_delay_us = times[2];
-    return xdr_lists(x, b);
+    if (!xdr_lists(x, b) ||
+        ((flags & FLAG_HISTORY) != 0 && !xdr_u_int64_t(x, &history))) {
+        return FALSE;
+    }
+    b->history = history;
+    return TRUE;
 }
 
 size_t
--- a/src/peer.h
+++ b/src/peer.h
@@ -45,7 +45,8 @@
     uint64_t boot_ms; /* wall time of the sender's start */
     bool leaving;
     bool wants_echo;     /* the receiver is asked for a heartbeat */
-    uint64_t config_rev; /* revision of the store that brought the sender's
+    uint64_t history;    /* of the store, as far as the sender knows */
+    uint64_t config_rev; /* revision of that history that brought the sender's
                             configuration in force; 0: none */
     uint64_t config_version;
     int64_t sent_us;       /* steady time of the sender */
--- a/src/registration.c
+++ b/src/registration.c
@@ -83,6 +83,9 @@
     Err e = {0};
     (void)now_us;
 
+    if (status == KV_LATER) {
+        return;
+    }
     if (status == 200 && r->o.codec->read_lease(body, &l, &e)) {
         /* A second copy of the answer that granted the lease. */
         kv_disconnect(r->conn);
@@ -108,6 +111,9 @@
     Err e = {0};
     (void)now_us;
 
+    if (status == KV_LATER) {
+        return;
+    }
     if (status == 200 && r->o.codec->read_lease(body, &l, &e)) {
         r->lease = l.id;
         r->ttl_us = l.ttl_us;
@@ -126,6 +132,9 @@
     (void)body;
     (void)now_us;
 
+    if (status == KV_LATER) {
+        return;
+    }
     if (status == 404) { /* the lease has ended, and with it the entry */
         r->lease = 0;
         r->written = false;
@@ -183,6 +192,7 @@
     r->o = *o;
     r->conn = kv_new(o->loop, &o->store, o->log);
     kv_share_backlog(r->conn, o->backlog);
+    kv_share_history(r->conn, o->history);
     r->timer = (EvlTimer){.fn = on_timer, .ctx = r};
     return r;
 }
@@ -225,6 +235,18 @@
     }
 }
 
+void
+registration_begin_history(Registration *r)
+{
+    /* registration_valid_until() stays: other VMs keep the entry for a while,
+     * and a VM that left its share for longer than a lease. */
+    kv_cancel(r->conn);
+    evl_disarm(r->o.loop, &r->timer);
+    r->lease = 0;
+    r->written = false;
+    next_call(r);
+}
+
 int64_t
 registration_valid_until(const Registration *r)
 {
--- a/src/registration.h
+++ b/src/registration.h
@@ -19,6 +19,7 @@
     struct sockaddr_in store;
     GRand *rnd;
     XferBacklog *backlog; /* see kv_share_backlog() */
+    KvHist *history;      /* see kv_share_history() */
 } RegistrationOpts;
 
 typedef struct Registration Registration;
@@ -34,6 +35,10 @@
  * entry are ignored. */
 void registration_removed(Registration *r, const char *key);
 
+/* The store has begun another history, in which the entry and its lease are
+ * gone, or the lease is another VM's: writes the entry with a new one. */
+void registration_begin_history(Registration *r);
+
 /* Time, on the clock of evl_boottime(), until which the lease of the entry
  * lasts even if no further call arrives; 0: there is no entry. */
 int64_t registration_valid_until(const Registration *r);
--- a/src/resync.c
+++ b/src/resync.c
@@ -97,6 +97,10 @@
     Resync *g = ctx;
     KvPage p = {0};
 
+    if (status == KV_LATER) {
+        return;
+    }
+    g->tries += status == KV_FORMER ? 1 : 0; /* a copy that is too old */
     if (status != 200 || !kvpage_read(g->o.pages, KVPAGE_LIST, body, &p)) {
         schedule_try(g);
     }
@@ -141,6 +145,7 @@
     g->o = *o;
     g->conn = kv_new(o->loop, &o->store, o->log);
     kv_share_backlog(g->conn, o->backlog);
+    kv_share_history(g->conn, o->history);
     g->timer = (EvlTimer){.fn = on_timer, .ctx = g};
     return g;
 }
--- a/src/resync.h
+++ b/src/resync.h
@@ -25,6 +25,7 @@
     KvPages *pages; /* borrowed */
     struct sockaddr_in store;
     XferBacklog *backlog; /* see kv_share_backlog() */
+    KvHist *history;      /* see kv_share_history() */
     GRand *rnd;
     const char *prefix;
     int64_t propagation_us; /* longest time for a change to reach this VM */
--- a/src/view.c
+++ b/src/view.c
@@ -9,7 +9,8 @@
 struct View {
     ViewOpts o;
     RtTable *table;
-    uint64_t table_rev; /* revision of the store that brought the table */
+    uint64_t table_rev; /* revision of the store that brought the table; 0: it
+                           is of a former history */
     uint64_t seen_rev;  /* highest one of a configuration received */
     int64_t unreadable;
 };
@@ -30,6 +31,13 @@
     g_free(v);
 }
 
+void
+view_begin_history(View *v)
+{
+    v->table_rev = 0;
+    v->seen_rev = 0;
+}
+
 const RtTable *
 view_routes(const View *v)
 {
@@ -74,7 +82,7 @@
 keep_config(View *v, uint64_t version, uint64_t rev)
 {
     bool again = version == current_version(v);
-    bool back = rev <= v->table_rev;
+    bool back = v->table_rev == 0 || rev <= v->table_rev;
 
     if (again && rev == v->table_rev) {
         return; /* listed again */
--- a/standins/peer.c
+++ b/standins/peer.c
@@ -24,6 +24,7 @@
 #include "gossipfrag.h"
 #include "hash.h"
 #include "peer.h"
+#include "platform_era.h"
 #include "strm.h"
 
 #define AGE_MS_MAX 60000
@@ -43,8 +44,10 @@
 send_echo(int fd, const struct sockaddr_in *to, const char *vm,
           uint64_t boot_ms, int64_t now_us)
 {
-    PeerHeartbeat hb = {
-        .boot_ms = boot_ms, .sent_us = now_us, .echo_us = now_us};
+    PeerHeartbeat hb = {.history = STANDIN_ERA,
+                        .boot_ms = boot_ms,
+                        .sent_us = now_us,
+                        .echo_us = now_us};
     char buf[DGRAM_BYTES_MAX];
 
     str_copy(hb.vm, sizeof(hb.vm), str_of(vm));
@@ -54,7 +57,8 @@
 static int
 send_unchanged(int fd, const struct sockaddr_in *to, int n_args, char **args)
 {
-    GossipOut o = {.sender.vm = hash_str(str_of(args[0]), 0)};
+    GossipOut o = {.history = STANDIN_ERA,
+                   .sender.vm = hash_str(str_of(args[0]), 0)};
     uint64_t age_ms;
 
     if (!str_u64(str_of(args[1]), INT64_MAX, &o.sender.boot_ms) ||
@@ -78,7 +82,7 @@
 static int
 send_heartbeats(int fd, const struct sockaddr_in *to, char **args)
 {
-    PeerHeartbeat hb = {0};
+    PeerHeartbeat hb = {.history = STANDIN_ERA};
     char buf[DGRAM_BYTES_MAX];
 
     if (!str_copy(hb.vm, sizeof(hb.vm), str_of(args[0])) ||
--- a/tests/http_stub.h
+++ b/tests/http_stub.h
@@ -38,17 +38,24 @@
     GPtrArray *conns; /* StubConn, in the order of their arrival */
 } Stub;
 
+/* Status of a response with the header Store-Era. */
+#define STUB_ERA(era, status) ((era)*1000 + (status))
+
 /* Sends a response without its last bytes.  Does nothing if the connection has
- * ended. */
+ * ended.  status: may be STUB_ERA(). */
 static inline void
 stub_respond_part(StubConn *c, int status, const char *body, size_t withheld)
 {
     if (!c->strm.open) {
         return;
     }
-    char *text = g_strdup_printf("HTTP/1.1 %d Status\r\nContent-Length: "
+    char *era = status < 1000
+                    ? g_strdup("")
+                    : g_strdup_printf("Store-Era: %d\r\n", status / 1000);
+    char *text = g_strdup_printf("HTTP/1.1 %d Status\r\n%sContent-Length: "
                                  "%zu\r\n\r\n%s",
-                                 status, strlen(body), body);
+                                 status % 1000, era, strlen(body), body);
+    g_free(era);
     strm_write(&c->strm, text, strlen(text) - withheld);
     g_free(text);
 }
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -83,9 +83,12 @@
     bool stalls; /* the process is taken for stalled while a part arrives */
     unsigned conns_max; /* 0: CONNS_MAX */
     int64_t announced_age_us;
+    uint64_t announced_history;
     char announced[256];   /* keys that were announced to other VMs */
     uint64_t announced_to; /* highest revision of these messages */
     char changes[512];     /* "KEY@REV " or "-KEY@REV " of each change */
+    uint64_t news_history; /* of the store, named by the message of news */
+    int n_histories;       /* calls of MirrorFns.history_begun */
     uint64_t news_from;    /* the message of news continues from it; 0: from
                               gossip_rev */
 } Store;
@@ -291,7 +294,8 @@
 on_news_timer(void *ctx, int64_t now_us)
 {
     Store *s = ctx;
-    Gossip w = {.from = s->news_from != 0 ? s->news_from : s->gossip_rev,
+    Gossip w = {.history = s->news_history,
+                .from = s->news_from != 0 ? s->news_from : s->gossip_rev,
                 .page = {.rev = s->gossip_rev}};
     KvItem removed = {
         .key = g_strdup(s->news), .rev = s->gossip_rev, .deleted = true};
@@ -337,11 +341,18 @@
     ((Store *)ctx)->confirmed_us = at_us;
 }
 
+static void
+on_history_begun(void *ctx)
+{
+    ((Store *)ctx)->n_histories++;
+}
+
 static void
 on_announce(void *ctx, const GossipOut *o)
 {
     Store *s = ctx;
 
+    s->announced_history = o->history;
     s->announced_age_us = o->age_us;
     s->announced_to = MAX(s->announced_to, o->to);
     for (int i = 0; i < o->n; i++) {
@@ -379,6 +390,7 @@
                 .urgent = on_urgent,
                 .failed = on_failed,
                 .confirmed = on_confirmed,
+                .history_begun = on_history_begun,
                 .announce = on_announce},
         .ctx = s,
     };
--- a/tests/test_crash.c
+++ b/tests/test_crash.c
@@ -311,6 +311,7 @@
     PeerHeartbeat a = {.vm = "vm-1",
                        .boot_ms = 77,
                        .leaving = true,
+                       .history = 6,
                        .sent_us = 5 * S,
                        .echo_us = 4 * S,
                        .echo_delay_us = 20 * MS,
--- a/tests/test_gossip.c
+++ b/tests/test_gossip.c
@@ -56,10 +56,11 @@
     for (int i = 0; i < 8; i++) {
         add(&f, 101 + 3 * (uint64_t)i, i % 2 == 0 ? 0 : 100 + (size_t)i);
     }
-    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US, SENDER, 0};
+    GossipOut o = {0, 7, 100, 190, f.list, f.n, AGE_US, SENDER, 0};
     size_t n = gossip_encode(&o, buf, sizeof(buf));
     ck_assert(gossip_is(buf, n));
     ck_assert(gossip_decode(&w, buf, n, NULL));
+    ck_assert_uint_eq(w.history, 7);
     ck_assert_uint_eq(w.from, 100);
     ck_assert_uint_eq(w.page.rev, 190);
     ck_assert_int_ge(w.age_us, AGE_US);
@@ -77,6 +78,28 @@
 }
 END_TEST
 
+/* Guards against a message of a VM of an earlier program, which does not know
+ * of histories, that cannot be read or is taken for one of the current
+ * history. */
+START_TEST(message_without_a_history_has_the_number_0)
+{
+    Changes f = {.n = 0};
+    Gossip w;
+    char buf[GOSSIP_BYTES_MAX];
+
+    add(&f, 101, 30);
+    GossipOut o = {0, 7, 100, 101, f.list, f.n, AGE_US, SENDER, 0};
+    size_t n = gossip_encode(&o, buf, sizeof(buf)) - sizeof(o.history);
+    gossip_add_age(buf, n, 0); /* writes the checksum of the shorter one */
+    ck_assert(gossip_decode(&w, buf, n, NULL));
+    ck_assert_uint_eq(w.history, 0);
+    ck_assert_uint_eq(w.page.rev, 101);
+    ck_assert_uint_eq(w.page.items->len, 1);
+    kv_page_clear(&w.page);
+    clear(&f);
+}
+END_TEST
+
 static GossipOrder
 order_of(const GossipOut *o, uint64_t rev)
 {
@@ -99,7 +122,7 @@
     Changes f = {.n = 0};
 
     add(&f, 5, 100);
-    GossipOut o = {0, 1, 200, f.list, f.n, AGE_US, SENDER, 0};
+    GossipOut o = {0, 0, 1, 200, f.list, f.n, AGE_US, SENDER, 0};
     ck_assert_int_eq(order_of(&o, 1), GOSSIP_NEXT);
     add(&f, 8, 5000);
     o.n = f.n;
@@ -196,7 +219,7 @@
     char buf[GOSSIP_BYTES_MAX];
 
     add(&f, 5, 100);
-    GossipOut o = {0, 1, 20, f.list, f.n, AGE_US, SENDER, 0};
+    GossipOut o = {0, 0, 1, 20, f.list, f.n, AGE_US, SENDER, 0};
     size_t n = gossip_encode(&o, buf, sizeof(buf));
     for (size_t cut = 0; cut < n; cut++) {
         ck_assert(!gossip_decode(&w, buf, cut, NULL));
@@ -250,7 +273,7 @@
             f.items[i].value = g_bytes_new(noise, sizeof(noise));
         }
     }
-    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US, SENDER, 0};
+    GossipOut o = {0, 0, 100, 190, f.list, f.n, AGE_US, SENDER, 0};
     ck_assert(!gossip_fits(&o));
     GPtrArray *fragments = gossipfrag_split(&o, 1);
     ck_assert_uint_gt(fragments->len, 1);
@@ -295,7 +318,7 @@
     add(&f, 101, 1);
     g_bytes_unref(f.items[0].value);
     f.items[0].value = g_bytes_new(noise, sizeof(noise));
-    GossipOut o = {0, 100, 101, f.list, f.n, AGE_US, SENDER, 0};
+    GossipOut o = {0, 0, 100, 101, f.list, f.n, AGE_US, SENDER, 0};
     GPtrArray *fragments = gossipfrag_split(&o, 1);
     ck_assert_uint_eq(fragments->len, G_N_ELEMENTS(late_us));
     for (guint i = 0; i < fragments->len; i++) {
@@ -333,7 +356,7 @@
     for (int i = 0; i < N_MAX; i++) {
         add(&f, 101 + (uint64_t)i, 250);
     }
-    GossipOut o = {0, 100, 190, f.list, f.n, AGE_US, SENDER, 0};
+    GossipOut o = {0, 0, 100, 190, f.list, f.n, AGE_US, SENDER, 0};
     GPtrArray *fragments = gossipfrag_split(&o, 1);
     const char *p = g_bytes_get_data(g_ptr_array_index(fragments, 0), &n);
     for (int i = 0; i < 20000; i++) {
@@ -355,6 +378,7 @@
 END_TEST
 
 T_MAIN("news", changes_arrive_complete_and_in_order,
+       message_without_a_history_has_the_number_0,
        too_large_message_reports_missing_revisions,
        missing_and_old_revisions_are_distinguished,
        last_watcher_watches_again_first, old_copies_are_confirmed_in_time,
--- a/tests/test_gossip_age.c
+++ b/tests/test_gossip_age.c
@@ -112,7 +112,7 @@
     KvItem item = {
         .key = "k", .value = g_bytes_new(noise, sizeof(noise)), .rev = REV};
     const KvItem *items[] = {&item};
-    GossipOut o = {0, REV - 1, REV, items, 1, 0, SENDER, 0};
+    GossipOut o = {0, 0, REV - 1, REV, items, 1, 0, SENDER, 0};
     world_init(&w);
     int64_t answered_us = evl_boottime();
     GossipDatagrams d = gossipsend_datagrams(&o, 1);
--- a/tests/test_gossipsend.c
+++ b/tests/test_gossipsend.c
@@ -15,6 +15,7 @@
 #define ITEMS_MAX 400
 #define SMALL_BYTES 200
 #define LARGE_BYTES 40000
+#define HISTORY 3
 #define FROM 100
 #define AGE_US 120000
 #define NOW_US INT64_C(1000000)
@@ -59,13 +60,14 @@
 static GossipDatagrams
 datagrams(const Changes *f)
 {
-    GossipOut o = {0,      FROM, FROM + (uint64_t)f->n, f->list, f->n, 0,
-                   SENDER, 0};
+    GossipOut o = {0, HISTORY, FROM, FROM + (uint64_t)f->n, f->list, f->n,
+                   0, SENDER,  0};
 
     return gossipsend_datagrams(&o, 1);
 }
 
-/* Decodes a datagram that is a whole message. */
+/* Decodes a datagram that is a whole message.  Guards against one that is
+ * ignored, as it names no history of the store. */
 static Gossip
 whole(const GPtrArray *list, guint i)
 {
@@ -75,6 +77,7 @@
 
     ck_assert(gossip_is(p, n));
     ck_assert(gossip_decode(&w, p, n, NULL));
+    ck_assert_uint_eq(w.history, HISTORY);
     return w;
 }
 
@@ -288,7 +291,7 @@
     Receiver r = {0};
 
     add(&f, LARGE_BYTES);
-    GossipOut o = {0, FROM, FROM + 1, f.list, f.n, AGE_US, SENDER, 0};
+    GossipOut o = {0, 0, FROM, FROM + 1, f.list, f.n, AGE_US, SENDER, 0};
     GossipDatagrams d = gossipsend_datagrams(&o, 1);
     for (int i = 0; i < 2; i++) { /* datagrams are shared by receivers */
         send_late(&d, &r);
--- a/tests/test_heartbeat.c
+++ b/tests/test_heartbeat.c
@@ -74,5 +74,28 @@
 }
 END_TEST
 
-T_MAIN("heartbeat", gossip_is_accepted_from_listed_starts_only,
+/* Guards against a VM that does not learn of a later history by a heartbeat,
+ * and against one that cannot read a heartbeat of an earlier program, which
+ * has no place for it. */
+START_TEST(heartbeat_names_the_history_of_the_store)
+{
+    PeerHeartbeat in;
+    PeerHeartbeat out = {.vm = "a", .history = 5, .config_rev = 9};
+    char buf[DGRAM_BYTES_MAX];
+    size_t n = peer_encode(&out, buf, sizeof(buf));
+
+    ck_assert(peer_decode(&in, buf, n, NULL));
+    ck_assert_uint_eq(in.history, 5);
+    ck_assert_uint_eq(in.config_rev, 9);
+    out.history = 0;
+    ck_assert_uint_eq(peer_encode(&out, buf, sizeof(buf)),
+                      n - sizeof(out.history));
+    ck_assert(peer_decode(&in, buf, n - sizeof(out.history), NULL));
+    ck_assert_uint_eq(in.history, 0);
+    ck_assert_uint_eq(in.config_rev, 9);
+}
+END_TEST
+
+T_MAIN("heartbeat", heartbeat_names_the_history_of_the_store,
+       gossip_is_accepted_from_listed_starts_only,
        heartbeat_of_an_earlier_start_is_ignored_after_a_clock_step)
--- a/tests/test_registration.c
+++ b/tests/test_registration.c
@@ -41,6 +41,11 @@
     int64_t interval_us; /* longest time between two renewals */
     char written[32];    /* by the call that is answered next; "": none */
     char value[32];
+    KvHist history; /* of the registration */
+    int era;        /* of the answers; 0: none is named */
+    bool lost;      /* the first renewal gets the answer of the next era */
+    int n_leases;
+    int n_writes;
     Registration *reg;
     GRand *rnd;
     Dlog *log;
@@ -70,7 +75,7 @@
     if (s->caller->strm.open && s->written[0] != '\0') {
         g_strlcpy(s->value, s->written, sizeof(s->value));
     }
-    stub_respond(s->caller, s->status, s->body);
+    stub_respond(s->caller, STUB_ERA(s->era, s->status), s->body);
 }
 
 static void
@@ -94,6 +99,7 @@
     s->renewing = stub_target_has(c, "/api/kv-keep");
     if (stub_target_has(c, "/api/kv-lease")) {
         s->body = LEASE;
+        s->n_leases++;
     }
     else if (stub_target_has(c, "/api/kv-txn") && s->copies) {
         s->copies = false;
@@ -103,6 +109,11 @@
     else if (stub_target_has(c, "/api/kv-txn")) {
         s->body = "{\"Succeeded\":true,\"Rev\":9}";
         read_value(s, c);
+        s->n_writes++;
+    }
+    else if (s->renewing && s->lost) {
+        s->lost = false;
+        s->era++;
     }
     int64_t answer_us = s->slow_us > 0 && s->renewing ? s->slow_us : ANSWER_US;
     evl_arm(s->loop, &s->answer, evl_now(s->loop) + answer_us);
@@ -127,6 +138,17 @@
     evl_run(s->loop);
 }
 
+static void
+on_history(void *ctx, uint64_t before, int64_t now_us)
+{
+    Store *s = ctx;
+    (void)before;
+    (void)now_us;
+
+    s->value[0] = '\0';
+    registration_begin_history(s->reg);
+}
+
 static void
 start(Store *s)
 {
@@ -137,7 +159,12 @@
     s->rnd = g_rand_new_with_seed(1);
     s->answer = (EvlTimer){.fn = on_answer, .ctx = s};
     stub_open(&s->stub, s->loop, on_request, s);
-    RegistrationOpts o = {s->loop, s->log, &pf_kv, s->stub.at, s->rnd, NULL};
+    s->history = (KvHist){.log = s->log,
+                          .header = pf_kv.history_header,
+                          .begun = on_history,
+                          .ctx = s};
+    RegistrationOpts o = {s->loop, s->log, &pf_kv,     s->stub.at,
+                          s->rnd,  NULL,   &s->history};
     s->reg = registration_new(&o);
     registration_set(s->reg, KEY, "leaving=0");
 }
@@ -232,8 +259,26 @@
 }
 END_TEST
 
+/* Guards against a VM whose entry is lost with what the store has lost, and
+ * which keeps the lease of another VM alive, as its id was given out again:
+ * the renewal is answered with success. */
+START_TEST(entry_is_written_with_a_new_lease_in_a_later_history)
+{
+    Store s = {.era = 1, .lost = true};
+
+    start(&s);
+    run_for(&s, RUN_US + RUN_US);
+    ck_assert_int_eq(s.era, 2);
+    ck_assert_int_eq(s.n_leases, 2);
+    ck_assert_int_eq(s.n_writes, 2);
+    ck_assert_str_eq(s.value, "leaving=0");
+    clear(&s);
+}
+END_TEST
+
 T_MAIN("registration", a_copy_of_the_answer_before_does_not_confirm_a_write,
        a_value_that_is_set_during_a_write_is_written,
        a_value_that_is_set_during_a_renewal_is_written_at_once,
        the_time_of_an_answer_does_not_delay_the_next_renewal,
-       writes_do_not_delay_a_renewal)
+       writes_do_not_delay_a_renewal,
+       entry_is_written_with_a_new_lease_in_a_later_history)
