Do not let an earlier report undo that an upstream leaves

An upstream reported "draining"; the store came back from a copy in which it was ready; the VM listed the copy and sent requests to it after the drain time (DRAIN).

Cause: the list of a new history counts whatever the VM knew, and it holds the entries of upstreams as they were when the copy was made.

Change: a report has its number (Seq), which rises within one start. For 10 s after the store has begun another history, a report that is earlier than the last one of that start changes nothing, and an upstream whose entry had gone (departed) gets no new work until it has reported again. After that time the store has removed the entries of those that do not report, and one that stays is used. Reports without a number, of another start, or in any other time count as before.

All 33 platform_*.sh pass, one run each, three at a time.

--- a/src/edge.c
+++ b/src/edge.c
@@ -178,11 +178,11 @@
 }
 
 static void
-on_history_begun(void *ctx)
+on_history_begun(void *ctx, int64_t now_us)
 {
     Edge *g = ctx;
 
-    view_begin_history(g->view);
+    view_begin_history(g->view, now_us);
     heard_begin_history(&g->heard);
 }
 
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -51,7 +51,7 @@
      * passed to "changed" mean nothing any more.  All keys are listed again.
      * Those that the list lacks stay for some time, in which they are likely
      * to be written again.  May be NULL. */
-    void (*history_begun)(void *ctx);
+    void (*history_begun)(void *ctx, int64_t now_us);
     /* Changes to send to nearby VMs; valid during the call only. */
     void (*announce)(void *ctx, const GossipOut *o);
 } MirrorFns;
--- a/src/mirror_history.c
+++ b/src/mirror_history.c
@@ -78,7 +78,7 @@
                m->history.current, before, kvcache_rev(m->feeds[0].cache));
     m->histories++;
     if (m->o.fns.history_begun != NULL) {
-        m->o.fns.history_begun(m->o.ctx);
+        m->o.fns.history_begun(m->o.ctx, now_us);
     }
     registration_begin_history(m->registration);
     for (int i = 0; i < m->n_feeds; i++) {
--- a/src/ups.c
+++ b/src/ups.c
@@ -4,6 +4,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "departed.h"
 #include "hash.h"
 #include "notices.h"
 
@@ -37,6 +38,11 @@
  * rebuilt. */
 #define JOINS_KEPT 512
 
+/* After the store came back from an older copy, in which the entries of
+ * upstreams that have left are removed after a few of their report intervals.
+ */
+#define FORMER_US 10000000
+
 struct UpsSet {
     const Topology *topology;
     uint64_t version;
@@ -47,6 +53,9 @@
     GHashTable *by_key;     /* hash of the id -> Ups */
     GHashTable *by_service; /* service hash -> UpsList */
     Notices *notices;
+    Departed *departed;
+    int64_t former_until_us; /* see ups_begin_history() */
+    int n_former;            /* upstreams with "former" */
     bool drained[ZONES_MAX];
     int64_t drain_ended_us[ZONES_MAX]; /* last end of a drain; 0: none */
 };
@@ -80,6 +89,7 @@
     s->by_service =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, free_list);
     s->notices = notices_new();
+    s->departed = departed_new();
     return s;
 }
 
@@ -90,6 +100,7 @@
     g_hash_table_destroy(s->by_key);
     g_hash_table_destroy(s->by_id);
     notices_free(s->notices);
+    departed_free(s->departed);
     g_free(s);
 }
 
@@ -281,6 +292,60 @@
     return UPS_SAME;
 }
 
+void
+ups_begin_history(UpsSet *s, int64_t now_us)
+{
+    s->former_until_us = now_us + FORMER_US;
+}
+
+/* Number of the last report of the start that a report is of; u: its entry, or
+ * NULL. */
+static uint64_t
+last_seq(const UpsSet *s, const Ups *u, const UpsReport *r)
+{
+    if (u == NULL) {
+        return departed_seq(s->departed, r->id, r->boot_ms);
+    }
+    return u->boot_ms == r->boot_ms ? u->seq : 0;
+}
+
+/* Returns true if the report is older than the last one of a listed upstream,
+ * or no later than that of one that has left. */
+static bool
+is_former(const UpsSet *s, const Ups *u, const UpsReport *r, int64_t now_us)
+{
+    bool listed = u != NULL && u->missing_us == 0 && !u->former;
+    uint64_t last = last_seq(s, u, r);
+
+    return now_us < s->former_until_us && r->seq != 0 &&
+           (listed ? r->seq < last : r->seq <= last);
+}
+
+static void
+set_former(UpsSet *s, Ups *u, bool former)
+{
+    s->n_former += (former ? 1 : 0) - (u->former ? 1 : 0);
+    u->former = former;
+}
+
+/* Lets the upstreams that the store still lists get new work. */
+static void
+end_former(UpsSet *s)
+{
+    GHashTableIter it;
+    gpointer p;
+
+    g_hash_table_iter_init(&it, s->by_id);
+    while (s->n_former > 0 && g_hash_table_iter_next(&it, NULL, &p)) {
+        Ups *u = p;
+        if (u->former) {
+            set_former(s, u, false);
+            u->state = u->said_leaving ? u->state : UPS_READY;
+        }
+    }
+    s->version++;
+}
+
 UpsChange
 ups_report(UpsSet *s, const UpsReport *r, int64_t now_us)
 {
@@ -292,9 +357,15 @@
         return UPS_UNKNOWN_ZONE;
     }
     bool known = u != NULL;
+    bool former = is_former(s, u, r, now_us);
+    if (former && known && u->missing_us == 0) {
+        return UPS_FORMER;
+    }
+    uint64_t last = last_seq(s, u, r);
     u = known ? u : add(s, r);
     apply_notice(s, u, r);
-    bool draining = r->draining || u->said_leaving;
+    bool draining = r->draining || u->said_leaving || former;
+    set_former(s, u, former && !r->draining);
     if (known) {
         ch = compare(u, r, draining, now_us);
     }
@@ -304,13 +375,14 @@
     s->n_missing -= u->missing_us != 0 ? 1 : 0;
     s->version += ch != UPS_SAME ? 1 : 0;
     u->boot_ms = r->boot_ms;
+    u->seq = former ? last : r->seq;
     u->addr = r->addr;
     u->state = draining ? UPS_DRAINING : UPS_READY;
     u->missing_us = 0;
     update_list(s, u, r, zone);
     u->report_us = now_us;
     u->cold_until_us = now_us + r->warmup_left_us;
-    return ch;
+    return former ? UPS_FORMER : ch;
 }
 
 void
@@ -337,6 +409,9 @@
     gpointer p;
     int n = 0;
 
+    if (s->n_former > 0 && now_us >= s->former_until_us) {
+        end_former(s);
+    }
     if (now_us < s->grace_until_us || s->n_missing == 0) {
         return 0;
     }
@@ -347,6 +422,8 @@
             continue;
         }
         u->state = UPS_GONE;
+        departed_add(s->departed, u->id, u->boot_ms, u->seq, now_us);
+        set_former(s, u, false);
         n++;
         list_remove(s, u);
         g_hash_table_remove(s->by_key, &u->key);
--- a/src/ups.h
+++ b/src/ups.h
@@ -32,6 +32,8 @@
     bool draining;
     int64_t warmup_left_us; /* remaining time of the warm-up */
     uint64_t boot_ms;       /* wall time of its start; 0: not reported */
+    uint64_t seq; /* number of the report, rises until the next start; 0: not
+                     reported */
 } UpsReport;
 
 /* Attempts of one VM at an upstream within a short time, as sent to other
@@ -49,6 +51,7 @@
     uint64_t service;  /* hash of the service's name */
     uint64_t join_seq; /* number of its join to the list, from 1; 0: none */
     uint64_t boot_ms;
+    uint64_t seq; /* of the last report */
     int zone;
     int region;
     struct sockaddr_storage addr;
@@ -74,7 +77,9 @@
     UpsObservation
         observed; /* by this VM since the last ups_take_observations() */
 
-    double planned_load;        /* load assigned by the plan being computed */
+    double planned_load; /* load assigned by the plan being computed */
+    bool former; /* it had left and is listed by a store that came back; it
+                    gets no new work until it has reported */
     bool said_leaving;          /* an answer announced that it leaves, see
                                    ups_observe_leaving() */
     bool may_use_cold;          /* this VM may use it while it is cold */
@@ -112,9 +117,16 @@
     UPS_DRAIN_STARTED, /* it began to drain */
     UPS_DRAIN_ENDED,   /* it stopped draining */
     UPS_CHANGED,       /* it is cold again, or its number of slots changed */
+    UPS_FORMER,        /* the report is earlier than one before, see
+                          ups_begin_history() */
     UPS_UNKNOWN_ZONE   /* the report names an unknown zone and was ignored */
 } UpsChange;
 
+/* The store came back from an older copy.  For some time a report of a start
+ * that is earlier than the last one does not undo it, and an upstream that had
+ * left gets no new work. */
+void ups_begin_history(UpsSet *s, int64_t now_us);
+
 /* Adds or updates the upstream of a report. */
 UpsChange ups_report(UpsSet *s, const UpsReport *r, int64_t now_us);
 
--- a/src/view.c
+++ b/src/view.c
@@ -32,10 +32,11 @@
 }
 
 void
-view_begin_history(View *v)
+view_begin_history(View *v, int64_t now_us)
 {
     v->table_rev = 0;
     v->seen_rev = 0;
+    ups_begin_history(v->o.upstreams, now_us);
 }
 
 const RtTable *
@@ -134,9 +135,9 @@
 static void
 apply_report(View *v, Str id, const UpsReport *r, uint64_t rev, int64_t now_us)
 {
-    static const char *const names[] = {"same",    "added", "restarted",
-                                        "leaving", "back",  "changed",
-                                        "unusable"};
+    static const char *const names[] = {"same",    "added",   "restarted",
+                                        "leaving", "back",    "changed",
+                                        "former",  "unusable"};
     UpsChange ch = ups_report(v->o.upstreams, r, now_us);
 
     if (ch == UPS_RESTARTED) {
--- a/src/view.h
+++ b/src/view.h
@@ -50,7 +50,7 @@
 
 /* The store has begun another history, whose revisions are not compared with
  * those before.  What is in effect stays. */
-void view_begin_history(View *v);
+void view_begin_history(View *v, int64_t now_us);
 
 /* Returns the configuration in effect, or NULL if there is none yet. */
 const RtTable *view_routes(const View *v);
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -342,8 +342,9 @@
 }
 
 static void
-on_history_begun(void *ctx)
+on_history_begun(void *ctx, int64_t now_us)
 {
+    (void)now_us;
     ((Store *)ctx)->n_histories++;
 }
 
