Move what is known to be missing out of mirror.c

No change of behaviour; test_mirror and test_mirror_history pass. A case of test_odd_entries plays versions across two histories of the store.

--- a/src/kv.h
+++ b/src/kv.h
@@ -80,9 +80,8 @@
 #define KV_NO_ANSWER 0    /* the call may have been or may yet be executed */
 #define KV_NOT_SENT (-1)  /* no connection; the call was not sent */
 #define KV_TOO_LARGE (-2) /* the answer exceeds the limit and was dropped */
-#define KV_FORMER                                                             \
-    (-3) /* the answer is of a former history, and was dropped                \
-          */
+/* The answer is of a former history, and was dropped. */
+#define KV_FORMER (-3)
 /* The answer is the first one of a later history, and was dropped, as the call
  * was made for another.  KvHist.begun is called next. */
 #define KV_LATER (-4)
--- a/src/mirror.c
+++ b/src/mirror.c
@@ -169,59 +169,6 @@
     notify_current(f->m, now_us);
 }
 
-void
-mirror_feed_changes_missed(Feed *f, int64_t now_us)
-{
-    Mirror *m = f->m;
-
-    if (!m->behind && f->listed &&
-        mirror_feed_age_us(f) > m->o.propagation_us) {
-        m->behind = true;
-        m->not_current = true;
-        m->o.fns.behind(m->o.ctx, now_us);
-    }
-}
-
-/* An answer of the store that does not arrive at once is likely to hold
- * changes, but may also have no end. */
-static void
-report_receiving(Feed *f, int64_t now_us)
-{
-    Mirror *m = f->m;
-
-    if (m->o.fns.receiving != NULL && !m->receiving && f->listed &&
-        mirror_feed_age_us(f) > m->o.propagation_us) {
-        m->receiving = true;
-        m->o.fns.receiving(m->o.ctx, now_us);
-    }
-}
-
-/* The copy may grow too old while the rest of the answer is received. */
-static void
-on_begin(void *ctx, int status, int64_t now_us)
-{
-    Feed *f = ctx;
-    int64_t left_us = f->m->o.propagation_us - mirror_feed_age_us(f);
-
-    if (status != 200) {
-        return;
-    }
-    report_receiving(f, now_us);
-    if (left_us >= 0) {
-        evl_arm(f->m->o.loop, &f->too_old, now_us + left_us + 1);
-    }
-}
-
-static void
-on_too_old(void *ctx, int64_t now_us)
-{
-    Feed *f = ctx;
-
-    if (kv_busy(f->conn)) {
-        report_receiving(f, now_us);
-    }
-}
-
 /* Records that the copy is as recent as the store's own answers. */
 static void
 mark_current(Feed *f, int64_t now_us)
@@ -576,7 +523,7 @@
         f->prefix = o->prefixes[i];
         f->conn = kv_new(o->loop, &o->store, o->log);
         kv_share_backlog(f->conn, &m->backlog);
-        kv_on_begin(f->conn, on_begin, f);
+        kv_on_begin(f->conn, mirror_on_begin, f);
         mirror_feed_init_history(f);
         f->cache = kvcache_new(on_key, f);
         f->pages = (KvPages){o->codec, o->log, f->prefix, 0};
@@ -596,7 +543,7 @@
         f->resync = resync_new(&go);
         f->timer = (EvlTimer){.fn = on_timer, .ctx = f};
         f->wait_end = (EvlTimer){.fn = on_wait_end, .ctx = f};
-        f->too_old = (EvlTimer){.fn = on_too_old, .ctx = f};
+        f->too_old = (EvlTimer){.fn = mirror_on_too_old, .ctx = f};
         mirror_feed_list(f);
     }
     return m;
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -129,6 +129,11 @@
 /* An answer of the store shows that changes were missed. */
 void mirror_feed_changes_missed(Feed *f, int64_t now_us);
 
+/* An answer has begun; ctx: its feed.  The copy may grow too old while the
+ * rest is received, and mirror_on_too_old() is then called. */
+void mirror_on_begin(void *ctx, int status, int64_t now_us);
+void mirror_on_too_old(void *ctx, int64_t now_us);
+
 /* Let the store begin another history; see MirrorFns.history_begun. */
 void mirror_init_history(struct Mirror *m);
 void mirror_feed_init_history(Feed *f);
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -457,7 +457,45 @@
 }
 END_TEST
 
+/* Guards against a lower version in a later history of the store, and against
+ * a revision of the former one that is compared with. */
+START_TEST(version_in_force_outlasts_the_history_of_the_store)
+{
+    static const char older[] =
+        "{\"Version\":6,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
+    static const char text[] =
+        "{\"Version\":7,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
+    static const char newer[] =
+        "{\"Version\":8,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
+    World w;
+
+    setup(&w);
+    w.rev = 9;
+    put(&w, "op/config", text);
+    view_begin_history(w.view, (int64_t)w.rev * S);
+    ck_assert_uint_eq(view_config_rev(w.view), 0);
+    ck_assert_uint_eq(view_config_seen(w.view), 0);
+    w.rev = 19;
+    put(&w, "op/config", older); /* at revision 20 */
+    ck_assert_int_eq(w.n_routes, 1);
+    ck_assert_uint_eq(rt_version(view_routes(w.view)), 7);
+    ck_assert_uint_eq(view_config_rev(w.view), 0);
+    ck_assert_uint_eq(view_config_seen(w.view), 20);
+    put(&w, "op/config", text);
+    ck_assert_uint_eq(view_config_rev(w.view), 21);
+    put(&w, "op/config", newer);
+    ck_assert_int_eq(w.n_routes, 2);
+    const char *log = read_log(&w);
+    ck_assert_int_eq(count_text(log, "event=version_back version=6 rev=20"),
+                     1);
+    ck_assert_int_eq(count_text(log, "event=stored_again version=7 rev=21"),
+                     1);
+    teardown(&w);
+}
+END_TEST
+
 T_MAIN("odd_entries", id_with_control_characters_names_no_upstream,
        entries_cannot_forge_log_lines, odd_values_leave_other_entries_in_use,
        odd_value_takes_its_own_upstream_out_of_use,
-       mutated_values_do_not_end_the_process, a_lower_version_is_never_taken)
+       mutated_values_do_not_end_the_process, a_lower_version_is_never_taken,
+       version_in_force_outlasts_the_history_of_the_store)
