Move the begin of a history out of edge.c

Change: edge_begin_history() stands in edge_config.c, beside what else compares configurations with those of other VMs. No change of behaviour.

--- a/src/edge.c
+++ b/src/edge.c
@@ -177,15 +177,6 @@
     px_store_failed(g->px, now_us);
 }
 
-static void
-on_history_begun(void *ctx, int64_t now_us)
-{
-    Edge *g = ctx;
-
-    view_begin_history(g->view, now_us);
-    heard_begin_history(&g->heard);
-}
-
 static void
 on_announce(void *ctx, const GossipOut *o)
 {
@@ -525,7 +516,7 @@
                 .urgent = on_urgent_current,
                 .failed = on_store_failure,
                 .confirmed = on_confirmed,
-                .history_begun = on_history_begun,
+                .history_begun = edge_begin_history,
                 .announce = on_announce},
         .ctx = g,
     };
--- a/src/edge_config.c
+++ b/src/edge_config.c
@@ -49,6 +49,15 @@
     g_string_free(ids, TRUE);
 }
 
+void
+edge_begin_history(void *ctx, int64_t now_us)
+{
+    Edge *g = ctx;
+
+    view_begin_history(g->view, now_us);
+    heard_begin_history(&g->heard);
+}
+
 void
 edge_heard(Edge *g, const PeerHeartbeat *hb, int64_t now_us)
 {
--- a/src/edge_state.h
+++ b/src/edge_state.h
@@ -80,6 +80,9 @@
  * that may have used the one before. */
 void edge_log_late_routes(const Edge *g, const RtTable *t);
 
+/* The store has begun another history; ctx: the Edge. */
+void edge_begin_history(void *ctx, int64_t now_us);
+
 /* A heartbeat of a VM of the list says which configuration is in force there.
  */
 void edge_heard(Edge *g, const PeerHeartbeat *hb, int64_t now_us);
