Let one of two alternating VMs defer its watches

Callers saw nothing, but the store answered up to twice the watches it has to: two VMs of a region whose watches alternate both went on watching.

Cause: gossip defers a watch only while the receiver pauses between two watches. A watch waits for 0.3 of the propagation time and the pause is 0.2 to 0.25 of it, so that two VMs half a cycle apart each receive the gossip of the other during their own watch, and stay so until a change shifts them.

Change: an answer without events that only confirms what gossip has confirmed during its watch defers the next watch, as gossip in a pause does, and is not forwarded, as it would defer the other VM too. A VM that hears nothing forwards as before, so there is always one that does. Answers with events, and those below the VM's position, are treated as before.

The test gossip_during_a_watch_defers_the_next_one of test_mirror failed before (a fourth call within 2 s).

--- a/src/mirror.c
+++ b/src/mirror.c
@@ -393,6 +393,7 @@
     }
     f->m->source = "watch";
     bool complete = mirror_feed_apply(f, &p, now_us);
+    bool confirms_gossip = mirror_feed_confirms_gossip(f, &p);
     guint n = (guint)p.n_sent;
     kv_page_clear(&p);
     if (!complete || (f->confirming && n >= CONFIRM_EVENTS) ||
@@ -413,8 +414,7 @@
         notify_urgent(f->m, now_us);
     }
     mark_current(f, now_us);
-    mirror_feed_pause(f, f->missed, now_us);
-    f->missed = false;
+    mirror_feed_pause_after_watch(f, confirms_gossip, now_us);
 }
 
 static void
@@ -432,6 +432,7 @@
 
     f->asked_rev = kvcache_rev(f->cache);
     f->again = false;
+    f->heard = false;
     f->watch_start_us = evl_boottime();
     f->watch_wait_us = wait_ms * INT64_C(1000);
     evl_arm(f->m->o.loop, &f->wait_end,
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -103,6 +103,7 @@
     int64_t since_failure_us =
         f->failed_us == 0 ? INT64_MAX : now_us - f->failed_us;
     if (!f->missed && !f->confirming && !lacks_events &&
+        !mirror_feed_confirms_gossip(f, p) &&
         gossip_is_fresh(m->o.propagation_us,
                         evl_boottime() - f->watch_start_us,
                         since_failure_us)) {
@@ -151,8 +152,14 @@
     }
 }
 
-/* Arms the timer of the next watch after gossip.  It does not shorten the
- * pause after a failed call. */
+bool
+mirror_feed_confirms_gossip(const Feed *f, const KvPage *p)
+{
+    return f->heard && p->n_sent == 0 && p->rev >= kvcache_rev(f->cache);
+}
+
+/* Arms the timer of the next watch after gossip that confirms the copy.  It
+ * does not shorten the pause after a failed call. */
 static void
 defer_watch(Feed *f, int64_t now_us)
 {
@@ -165,6 +172,18 @@
     }
 }
 
+void
+mirror_feed_pause_after_watch(Feed *f, bool confirms_gossip, int64_t now_us)
+{
+    if (confirms_gossip) {
+        defer_watch(f, now_us);
+    }
+    else {
+        mirror_feed_pause(f, f->missed, now_us);
+    }
+    f->missed = false;
+}
+
 void
 mirror_receive(Mirror *m, const Gossip *w, int64_t now_us)
 {
@@ -187,9 +206,12 @@
         f->missed = f->missed && kvcache_rev(f->cache) < f->missed_rev;
         /* The message may have waited in the socket of this VM. */
         mirror_feed_confirm(f, evl_since(m->o.loop) - w->age_us);
+        if (f->partial_us <= known_us) {
+            break;
+        }
+        f->heard = true;
         /* A VM whose calls the store refuses stays current by gossip. */
-        if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed &&
-            f->partial_us > known_us) {
+        if ((f->pausing || (f->failing && !kv_busy(f->conn))) && !f->missed) {
             defer_watch(f, now_us);
         }
         break;
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -33,6 +33,8 @@
     char *after;     /* last key of the previous page */
     bool relist;     /* list again: keys missing or events unreadable */
     bool pausing;    /* the timer runs for the next watch */
+    bool heard;      /* gossip has confirmed the copy since the last watch
+                        began */
     uint64_t missed_rev; /* the last of the missing revisions */
     bool missed; /* gossip showed missing revisions.  Other VMs then watch
                     too, so the events of the next watch are not
@@ -120,6 +122,17 @@
  * from another VM. */
 void mirror_feed_pause(Feed *f, bool by_gossip, int64_t now_us);
 
+/* The same after the answer of a watch; confirms_gossip: see
+ * mirror_feed_confirms_gossip(). */
+void mirror_feed_pause_after_watch(Feed *f, bool confirms_gossip,
+                                   int64_t now_us);
+
+/* Returns true if the answer of a watch only confirms what gossip has
+ * confirmed during the watch.  VMs whose watches alternate never receive
+ * gossip during a pause, so one of them has to defer its watch after such an
+ * answer and must not forward it: that would defer the other one too. */
+bool mirror_feed_confirms_gossip(const Feed *f, const KvPage *p);
+
 /* Reads the urgent keys; the watch continues from their revision. */
 void mirror_feed_list_urgent(Feed *f);
 
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -84,6 +84,7 @@
     unsigned conns_max; /* 0: CONNS_MAX */
     int64_t announced_age_us;
     uint64_t announced_history;
+    int n_announced;       /* messages to other VMs */
     char announced[256];   /* keys that were announced to other VMs */
     uint64_t announced_to; /* highest revision of these messages */
     char changes[512];     /* "KEY@REV " or "-KEY@REV " of each change */
@@ -353,6 +354,7 @@
 {
     Store *s = ctx;
 
+    s->n_announced++;
     s->announced_history = o->history;
     s->announced_age_us = o->age_us;
     s->announced_to = MAX(s->announced_to, o->to);
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -291,6 +291,57 @@
 }
 END_TEST
 
+/* Runs a mirror that receives gossip while its third call, a watch, waits; the
+ * gossip confirms its copy.  Ends before a watch that is deferred begins. */
+static void
+run_with_gossip_during_watch(Store *s, const Answer *script)
+{
+    memset(s, 0, sizeof(*s));
+    s->news = "servers/z"; /* removed before the start */
+    s->gossip_rev = 9;
+    s->news_from = 9;
+    s->delay_at_call = NEWS_AFTER_CALLS;
+    run_store(s, script, PROPAGATION_US);
+    ck_assert_int_eq(s->n_calls_at_gossip, NEWS_AFTER_CALLS);
+}
+
+/* Guards against two VMs that both keep watching the store: their watches
+ * alternate, so that the gossip of either always arrives during a watch of the
+ * other, which then defers nothing. */
+START_TEST(gossip_during_a_watch_defers_the_next_one)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, EVENTS("", "9")},
+        {NULL, 0, NULL},
+    };
+
+    run_with_gossip_during_watch(&s, script);
+    ck_assert_int_eq(s.n_calls, NEWS_AFTER_CALLS);
+    ck_assert_int_eq(s.counts.watches_deferred, 1);
+    /* The other VM would defer its watch as well. */
+    ck_assert_int_eq(s.n_announced, 0);
+}
+END_TEST
+
+/* Guards against changes that other VMs never hear of, because gossip arrived
+ * during the watch that returned them. */
+START_TEST(events_after_gossip_during_a_watch_are_announced)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 200, EVENTS(ITEM("servers/a", "10"), "10")},
+        {NULL, 0, NULL},
+    };
+
+    run_with_gossip_during_watch(&s, script);
+    ck_assert_int_gt(s.n_calls, NEWS_AFTER_CALLS);
+    ck_assert_str_eq(s.announced, "servers/a ");
+}
+END_TEST
+
 /* Guards against a VM that takes gossip for as recent as its arrival, and
  * learns late of what has changed since its sender read the store. */
 START_TEST(old_gossip_defers_the_watch_by_what_is_left)
@@ -443,6 +494,8 @@
        a_list_that_lacks_a_key_is_not_current,
        gossip_defers_calls_while_store_refuses,
        gossip_of_unknown_age_defers_no_calls,
+       gossip_during_a_watch_defers_the_next_one,
+       events_after_gossip_during_a_watch_are_announced,
        old_gossip_defers_the_watch_by_what_is_left,
        a_wait_that_was_cut_short_confirms_no_time_after_its_answer,
        a_whole_wait_confirms_its_end,
