Keep a resync open until the changes missed meanwhile are found

Callers: a VM takes its copy of the store for current although upstreams and routes are missing from it, so that requests go by an old configuration or to an upstream that has left; a later gap in the store's history leaves the VM without a current copy for good (503 for each request).

Cause: a watch gets 410 while a resync is under way. resync_begin() extends that resync, but its end is known only when the list of the operator's keys is there. If the list of the resync is complete before that, it has reached the old end and the resync is over. resync_run() then lists with a resync that is not active: the copy counts as complete meanwhile, removed keys are not kept apart, and resync_end() does nothing, so that "running" stays set and the resync of the next gap never sends a list.

The log of a failure shows 410, "gap_filled to=77" of the first gap, the operator's list with revision 110, and a confirmation by the next watch before any list from 110 on.

Change: a resync that is begun again is unbounded until resync_run() names its end. When its list is complete before that, the first gap is reported as filled, and the resync goes on to lack changes; resync_run() lists again.

--- a/src/resync.c
+++ b/src/resync.c
@@ -14,7 +14,8 @@
     ResyncOpts o;
     bool active;
     bool lacks_changes;
-    bool running; /* from resync_run() on */
+    bool running;   /* from resync_run() on */
+    bool unbounded; /* begun, and resync_run() has not named "to" since */
     uint64_t to;
     uint64_t list_to; /* "to" when this list began */
     KvConn *conn;
@@ -60,6 +61,12 @@
         g->lacks_changes = false;
         g->o.found(g->o.ctx, now_us);
     }
+    if (g->unbounded) {
+        /* Other changes were missed meanwhile; resync_run() is to follow. */
+        g->lacks_changes = true;
+        g->running = false;
+        return;
+    }
     if (dropped && !g->second_list) {
         g->second_list = true;
         schedule_read(g, SECOND_LIST_US);
@@ -162,11 +169,13 @@
 resync_begin(Resync *g)
 {
     if (g->lacks_changes) {
+        g->unbounded = true;
         return;
     }
     resync_end(g);
     g->active = true;
     g->lacks_changes = true;
+    g->unbounded = true;
     kvcache_keep_removed(g->o.cache, true);
 }
 
@@ -174,6 +183,7 @@
 resync_run(Resync *g, uint64_t to, bool copies)
 {
     g->to = to;
+    g->unbounded = false;
     if (!copies) {
         g->tries = STALE_TRIES;
     }
@@ -194,6 +204,7 @@
     g_clear_pointer(&g->after, g_free);
     g->active = false;
     g->running = false;
+    g->unbounded = false;
     g->lacks_changes = false;
     g->second_list = false;
     g->tries = 0;
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -25,9 +25,11 @@
 #define CONNS_MAX 8
 #define DRIP_US 100000 /* between parts of an answer */
 
+#define NO_ANSWER 0
+
 typedef struct Answer {
     const char *call; /* pattern for the target of the request */
-    int status;
+    int status;       /* NO_ANSWER: the call stays open */
     const char *body;
 } Answer;
 
@@ -170,6 +172,9 @@
         s->gossip = (EvlTimer){.fn = on_news_timer, .ctx = s};
         evl_arm(s->loop, &s->gossip, evl_now(s->loop) + NEWS_US);
     }
+    if (a != NULL && a->status == NO_ANSWER) {
+        return;
+    }
     if (a != NULL && s->n_calls == s->delay_at_call) {
         s->delayed = c;
         s->late = a;
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -191,6 +191,47 @@
 }
 END_TEST
 
+/* Guards against a copy that counts as complete, and against a VM that is
+ * never current again: the store has dropped its history a second time, and
+ * the list of the first resync is complete before the revision is known up to
+ * which the second one has to find changes. */
+START_TEST(resync_that_ends_during_the_next_one_does_not_end_it)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 410, "{}"},
+        {"PathPrefix=op/", 200, LIST("", "20")},
+        /* Late, see delay_at_call: after the next two calls. */
+        {"Serializable=1", 200,
+         LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "21")},
+        {"after=20&", 410, "{}"},
+        {"PathPrefix=op/", NO_ANSWER, NULL},
+        {"PathPrefix=op/", 200, LIST("", "30")},
+        {"Serializable=1", NO_ANSWER, NULL},
+        {"after=30&", 200, EVENTS("", "30")},
+        {"Serializable=1", 200,
+         LIST(ITEM("servers/a", "3") "," ITEM("servers/c", "25"), "31")},
+        {"after=30&", 410, "{}"},
+        {"PathPrefix=op/", 200, LIST("", "40")},
+        {"Serializable=1", 200, LIST(ITEM("servers/d", "35"), "41")},
+        {NULL, 0, NULL},
+    };
+    int second = 0;
+
+    memset(&s, 0, sizeof(s));
+    s.delay_at_call = 5;
+    run_store(&s, script, 6000000);
+    while (!matches(s.calls[second], "after=30&")) {
+        second++;
+    }
+    /* Not even by the answer of this watch. */
+    ck_assert_int_le(s.confirmed_at_call_us[second + 1], s.call_us[5]);
+    ck_assert_str_eq(s.at_end, "servers/d ");
+    ck_assert_int_gt(s.confirmed_us, s.call_us[second]);
+}
+END_TEST
+
 /* Guards against two lists at the same time, where one treats keys as missing
  * that only the other has returned. */
 START_TEST(list_of_store_ends_resync)
@@ -490,8 +531,9 @@
        resync_finds_changes_of_dropped_history,
        changes_found_by_resync_are_announced,
        events_without_effect_here_are_announced,
-       resync_is_in_time_if_copies_lag, list_of_store_ends_resync,
-       a_list_that_lacks_a_key_is_not_current,
+       resync_is_in_time_if_copies_lag,
+       resync_that_ends_during_the_next_one_does_not_end_it,
+       list_of_store_ends_resync, a_list_that_lacks_a_key_is_not_current,
        gossip_defers_calls_while_store_refuses,
        gossip_of_unknown_age_defers_no_calls,
        gossip_during_a_watch_defers_the_next_one,
