test_mirror: let a case run until its last call is due

Cause: the mirror makes that call after two pauses of 0.4 to 0.5 s each, and the case ended after 1 s. It runs for 2 s now, which is stricter too: the copy must not be confirmed for all of this time.

--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -476,7 +476,8 @@
         {NULL, 0, NULL},
     };
 
-    run(&s, script, PROPAGATION_US / 2);
+    /* Two pauses of 0.4 to 0.5 s precede the last call. */
+    run(&s, script, PROPAGATION_US);
     ck_assert_int_ge(s.n_calls, 5);
     ck_assert_int_le(s.confirmed_us, s.call_us[2]);
 }
