--- a/src/ups.h
+++ b/src/ups.h
@@ -227,4 +227,7 @@
 void ups_receive_observation(UpsSet *s, const UpsObservation *seen,
                              int64_t now_us);
 
+/* Counts the attempts that another VM has observed. */
+void ups_count_observation(Ups *u, const UpsObservation *seen, int64_t now_us);
+
 #endif
