Write repeated scripts of the mirror's tests once

Cause: five cases of test_mirror begin with the same three answers, three look for a call with the same loop, two of test_odd_entries define the same three configurations. Change: START_WITH_GAP, first_call(), which fails where the call is missing, and version_6 to version_8. The checks stay as they are.

--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -110,6 +110,20 @@
     return len >= n - 1 && strncmp(call + len - (n - 1), pattern, n - 1) == 0;
 }
 
+/* Returns the index of the first call that matches the pattern; there must be
+ * one. */
+static inline int
+first_call(const Store *s, const char *pattern)
+{
+    int i = 0;
+
+    while (i < s->n_calls && !matches(s->calls[i], pattern)) {
+        i++;
+    }
+    ck_assert_msg(i < s->n_calls, "not called: %s", pattern);
+    return i;
+}
+
 /* Returns the first unused answer that matches the call, or NULL. */
 static const Answer *
 find_answer(Store *s, const char *call)
@@ -490,5 +504,11 @@
     {                                                                         \
         "after=4&WaitMs=1", 200, EVENTS(REMOVED("servers/z", "9"), "9")       \
     }
+/* The same; the store then has dropped changes, and is at revision 20. */
+#define START_WITH_GAP                                                        \
+    START_A_B, {"after=9&", 410, "{}"},                                       \
+    {                                                                         \
+        "PathPrefix=op/", 200, LIST("", "20")                                 \
+    }
 
 #endif
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -117,9 +117,7 @@
 {
     Store s;
     static const Answer script[] = {
-        START_A_B,
-        {"after=9&", 410, "{}"},
-        {"PathPrefix=op/", 200, LIST("", "20")},
+        START_WITH_GAP,
         /* "c" was added and "b" removed after the revision of the watch. */
         {"Serializable=1", 200,
          LIST(ITEM("servers/a", "3") "," ITEM("servers/c", "21"), "22")},
@@ -171,9 +169,7 @@
 {
     Store s;
     static const Answer script[] = {
-        START_A_B,
-        {"after=9&", 410, "{}"},
-        {"PathPrefix=op/", 200, LIST("", "20")},
+        START_WITH_GAP,
         {"Serializable=1", 200, LIST("", "15")},
         {"Serializable=1", 200, LIST("", "15")},
         {"Serializable=1", 200, LIST("", "16")},
@@ -199,9 +195,7 @@
 {
     Store s;
     static const Answer script[] = {
-        START_A_B,
-        {"after=9&", 410, "{}"},
-        {"PathPrefix=op/", 200, LIST("", "20")},
+        START_WITH_GAP,
         /* Late, see delay_at_call: after the next two calls. */
         {"Serializable=1", 200,
          LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "21")},
@@ -217,14 +211,11 @@
         {"Serializable=1", 200, LIST(ITEM("servers/d", "35"), "41")},
         {NULL, 0, NULL},
     };
-    int second = 0;
 
     memset(&s, 0, sizeof(s));
     s.delay_at_call = 5;
     run_store(&s, script, 6000000);
-    while (!matches(s.calls[second], "after=30&")) {
-        second++;
-    }
+    int second = first_call(&s, "after=30&");
     /* Not even by the answer of this watch. */
     ck_assert_int_le(s.confirmed_at_call_us[second + 1], s.call_us[5]);
     ck_assert_str_eq(s.at_end, "servers/d ");
@@ -238,9 +229,7 @@
 {
     Store s;
     static const Answer script[] = {
-        START_A_B,
-        {"after=9&", 410, "{}"},
-        {"PathPrefix=op/", 200, LIST("", "20")},
+        START_WITH_GAP,
         {"Serializable=1", 200, LIST("", "15")},
         {"Serializable=1", 200, LIST("", "15")},
         /* Unreadable, so that everything is listed again; the third read of a
@@ -250,13 +239,10 @@
          LIST(ITEM("servers/a", "3") "," ITEM("servers/b", "4"), "30")},
         {NULL, 0, NULL},
     };
-    int list = 0;
 
     run(&s, script, 3000000);
     ck_assert_str_eq(s.at_end, "servers/a servers/b ");
-    while (!matches(s.calls[list], "PathPrefix=$")) {
-        list++;
-    }
+    int list = first_call(&s, "PathPrefix=$");
     ck_assert_int_eq(calls_with(&s, list + 1, "/api/kv-range"), 0);
 }
 END_TEST
@@ -277,13 +263,9 @@
         {NULL, 0, NULL},
     };
     char early[64];
-    int list = 0;
 
     run(&s, script, 2000000);
-    while (list < s.n_calls && !matches(s.calls[list], "PathPrefix=$")) {
-        list++;
-    }
-    ck_assert_int_lt(list, s.n_calls);
+    int list = first_call(&s, "PathPrefix=$");
     ck_assert_str_eq(s.at_end, "servers/a ");
     g_snprintf(early, sizeof(early), "|%d:servers/a servers/b ", list + 1);
     ck_assert_msg(strstr(s.currents, early) == NULL, "%s", s.currents);
@@ -468,9 +450,7 @@
 {
     Store s;
     static const Answer script[] = {
-        START_A_B,
-        {"after=9&", 410, "{}"},
-        {"PathPrefix=op/", 200, LIST("", "20")},
+        START_WITH_GAP,
         {"Serializable=1", 200, LIST("", "15")},
         {"after=20&", 200, EVENTS("", "20")},
         {NULL, 0, NULL},
--- a/tests/test_odd_entries.c
+++ b/tests/test_odd_entries.c
@@ -408,35 +408,36 @@
 }
 END_TEST
 
+#define EMPTY_CONFIG(version)                                                 \
+    "{\"Version\":" version ",\"Limits\":{},\"Services\":[],\"Vhosts\":[]}"
+
+static const char version_6[] = EMPTY_CONFIG("6");
+static const char version_7[] = EMPTY_CONFIG("7");
+static const char version_8[] = EMPTY_CONFIG("8");
+
 /* Guards against a VM that goes back to a lower version, which was stored
  * later or is that of a store that came back from an older copy, and against
  * one that then misses the next version. */
 START_TEST(a_lower_version_is_never_taken)
 {
-    static const char older[] =
-        "{\"Version\":6,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
-    static const char text[] =
-        "{\"Version\":7,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
-    static const char newer[] =
-        "{\"Version\":8,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
     World w;
     char buf[4096];
 
     setup(&w);
     w.rev = 4;
-    put(&w, "op/config", text);
+    put(&w, "op/config", version_7);
     w.rev--; /* listed again */
-    put(&w, "op/config", text);
-    put(&w, "op/config", older); /* at revision 6 */
+    put(&w, "op/config", version_7);
+    put(&w, "op/config", version_6); /* at revision 6 */
     ck_assert_int_eq(w.n_routes, 1);
     w.rev = 0;
-    put(&w, "op/config", older); /* at revision 1 */
+    put(&w, "op/config", version_6); /* at revision 1 */
     ck_assert_int_eq(w.n_routes, 1);
     ck_assert_uint_eq(rt_version(view_routes(w.view)), 7);
-    put(&w, "op/config", text); /* at revision 2 */
+    put(&w, "op/config", version_7); /* at revision 2 */
     ck_assert_int_eq(w.n_routes, 1);
     ck_assert_uint_eq(view_config_rev(w.view), 2);
-    put(&w, "op/config", newer); /* at revision 3 */
+    put(&w, "op/config", version_8); /* at revision 3 */
     ck_assert_int_eq(w.n_routes, 2);
     ck_assert_uint_eq(rt_version(view_routes(w.view)), 8);
     dlog_flush(w.log);
@@ -461,29 +462,23 @@
  * a revision of the former one that is compared with. */
 START_TEST(version_in_force_outlasts_the_history_of_the_store)
 {
-    static const char older[] =
-        "{\"Version\":6,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
-    static const char text[] =
-        "{\"Version\":7,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
-    static const char newer[] =
-        "{\"Version\":8,\"Limits\":{},\"Services\":[],\"Vhosts\":[]}";
     World w;
 
     setup(&w);
     w.rev = 9;
-    put(&w, "op/config", text);
+    put(&w, "op/config", version_7);
     view_begin_history(w.view, (int64_t)w.rev * S);
     ck_assert_uint_eq(view_config_rev(w.view), 0);
     ck_assert_uint_eq(view_config_seen(w.view), 0);
     w.rev = 19;
-    put(&w, "op/config", older); /* at revision 20 */
+    put(&w, "op/config", version_6); /* at revision 20 */
     ck_assert_int_eq(w.n_routes, 1);
     ck_assert_uint_eq(rt_version(view_routes(w.view)), 7);
     ck_assert_uint_eq(view_config_rev(w.view), 0);
     ck_assert_uint_eq(view_config_seen(w.view), 20);
-    put(&w, "op/config", text);
+    put(&w, "op/config", version_7);
     ck_assert_uint_eq(view_config_rev(w.view), 21);
-    put(&w, "op/config", newer);
+    put(&w, "op/config", version_8);
     ck_assert_int_eq(w.n_routes, 2);
     const char *log = read_log(&w);
     ck_assert_int_eq(count_text(log, "event=version_back version=6 rev=20"),
