test_heard: a history begins without claims and refutations

Change: a test of what the begin of a history forgets. Result: it passes; without the reset of the claims, or without that of the refutations, it fails. A revision that was refuted in the former history would not be asked for when the same VM names it in the later one.

--- a/tests/test_heard.c
+++ b/tests/test_heard.c
@@ -130,10 +130,28 @@
 }
 END_TEST
 
+/* Guards against a VM that asks for a revision of a former history of the
+ * store, and against one that does not ask for a revision which a sender names
+ * again in the later history, as it was refuted in the former one. */
+START_TEST(history_of_the_store_begins_without_claims_and_refutations)
+{
+    setup();
+    heard_add(&h, "a", 10, 4, 9, 1 * MS);
+    heard_asked(&h, 1 * MS + LONG_US);
+    ck_assert(heard_answered(&h, 9, &refuted));
+    heard_add(&h, "b", 30, 5, 9, 9000 * MS);
+    heard_begin_history(&h);
+    ck_assert(heard_step(&h, 7, PROPAGATION, 9000 * MS + LONG_US) == NULL);
+    heard_add(&h, "a", 10, 6, 7, 20000 * MS);
+    ck_assert(heard_step(&h, 7, PROPAGATION, 20000 * MS + LONG_US) != NULL);
+}
+END_TEST
+
 T_MAIN("heard", asks_for_a_revision_that_does_not_come,
        asks_not_if_the_revision_comes,
        newer_revisions_do_not_restart_the_delay,
        refuted_revision_of_a_sender_is_not_asked_for_again,
        answer_refutes_only_claims_from_before_the_call,
        asks_at_most_once_in_the_propagation_time,
-       asks_not_while_a_call_is_under_way)
+       asks_not_while_a_call_is_under_way,
+       history_of_the_store_begins_without_claims_and_refutations)
