Log and export when the store last confirmed the configuration

Change: event=confirmed every 5 s, the same as metrics, and newest_config and copy_age_ms in the line of a request without a route.

--- a/src/edge.c
+++ b/src/edge.c
@@ -361,6 +361,7 @@
     plan_step(g->plan, g->upstreams, now_us);
     on_crash_step(g, now_us);
     edge_step_heard(g, now_us);
+    edge_log_confirmation(g, now_us);
     if (now_us - g->heartbeat_us >= HEARTBEAT_US) {
         g->heartbeat_us = now_us;
         const RtTable *t = view_routes(g->view);
@@ -460,6 +461,8 @@
         .crashes = g->crashes,
         .rnd = g->rnd,
         .copy_age_max_us = g->propagation_us,
+        .newest_version = edge_newest_version,
+        .ctx = g,
     };
     g->px = px_new(&po);
     ViewOpts vo = {
--- a/src/edge_config.c
+++ b/src/edge_config.c
@@ -7,6 +7,7 @@
 /* Longest time for which requests are queued until the store has answered
  * which configuration is the newest. */
 #define HEARD_WAIT_US 400000
+#define CONFIRMATION_LOG_US 5000000
 
 static uint64_t
 own_version(const Edge *g)
@@ -16,6 +17,12 @@
     return t == NULL ? 0 : rt_version(t);
 }
 
+uint64_t
+edge_newest_version(void *ctx)
+{
+    return ((Edge *)ctx)->heard.newest_version;
+}
+
 /* A change that this VM learns of now was made after its copy of the store was
  * last known to be current, or before another VM had it.  Requests handled
  * since then, later than the time limit for changes allows, may have used an
@@ -49,6 +56,51 @@
     g_string_free(ids, TRUE);
 }
 
+/* Time since the store itself last confirmed the copy; -1: it never did. */
+static int64_t
+confirmation_age_ms(const MirrorConfirmation *c)
+{
+    return c->at_us == 0 ? -1 : (evl_boottime() - c->at_us) / 1000;
+}
+
+void
+edge_log_confirmation(Edge *g, int64_t now_us)
+{
+    MirrorConfirmation c = mirror_confirmation(g->mirror);
+
+    if (!g->view_complete ||
+        now_us - g->confirmation_log_us < CONFIRMATION_LOG_US) {
+        return;
+    }
+    g->confirmation_log_us = now_us;
+    dlog_event(g->log, DLOG_INFO, "config",
+               "event=confirmed version=%" PRIu64 " rev=%" PRIu64
+               " copy_age_ms=%" PRId64 " store_age_ms=%" PRId64
+               " by=%s position=%" PRIu64 " history=%" PRIu64
+               " newest_heard=%" PRIu64,
+               own_version(g), view_config_rev(g->view),
+               (now_us - px_confirmed(g->px)) / 1000, confirmation_age_ms(&c),
+               c.source == NULL ? "-" : c.source, c.rev, c.history,
+               g->heard.newest_version);
+}
+
+void
+edge_confirmation_metrics(const Edge *g, GString *out)
+{
+    MirrorConfirmation c = mirror_confirmation(g->mirror);
+    int64_t age_ms = confirmation_age_ms(&c);
+    int64_t at_ms = age_ms < 0 ? 0 : g_get_real_time() / 1000 - age_ms;
+
+    g_string_append_printf(
+        out,
+        "edge_config_rev %" PRIu64 "\nedge_config_confirmed_unix_ms %" PRId64
+        "\nedge_config_confirmed_age_ms %" PRId64
+        "\nedge_store_position %" PRIu64 "\nedge_store_history %" PRIu64
+        "\nedge_config_newest_heard %" PRIu64 "\n",
+        view_config_rev(g->view), at_ms, age_ms, c.rev, c.history,
+        g->heard.newest_version);
+}
+
 void
 edge_begin_history(void *ctx, int64_t now_us)
 {
--- a/src/edge_listen.c
+++ b/src/edge_listen.c
@@ -49,6 +49,7 @@
 
     px_metrics(g->px, t);
     crash_metrics(g->crashes, t);
+    edge_confirmation_metrics(g, t);
     g_string_append_printf(
         t,
         "edge_config_version %" PRIu64 "\nedge_vms %d\n"
--- a/src/edge_state.h
+++ b/src/edge_state.h
@@ -59,9 +59,10 @@
     int64_t stop_us;      /* time for the stop: the setting at that signal */
     int64_t settings_us;  /* last check of the settings file */
     int64_t heartbeat_us; /* last heartbeat sent by on_tick() */
-    int64_t lag_us;       /* recent lateness of ticks */
-    int64_t ran_us;       /* processor time used until the last tick */
-    long page_faults;     /* major ones until the last tick */
+    int64_t confirmation_log_us; /* last edge_log_confirmation() line */
+    int64_t lag_us;              /* recent lateness of ticks */
+    int64_t ran_us;              /* processor time used until the last tick */
+    long page_faults;            /* major ones until the last tick */
 };
 
 /* Opens the listeners for requests and for the endpoints: readiness, directory
@@ -80,6 +81,16 @@
  * that may have used the one before. */
 void edge_log_late_routes(const Edge *g, const RtTable *t);
 
+/* Newest version that another VM has had in force; 0: none. ctx: the Edge. */
+uint64_t edge_newest_version(void *ctx);
+
+/* Logs, every few seconds, the configuration in force and the last answer of
+ * the store that confirmed it. */
+void edge_log_confirmation(Edge *g, int64_t now_us);
+
+/* Appends the same as metrics. */
+void edge_confirmation_metrics(const Edge *g, GString *out);
+
 /* The store has begun another history; ctx: the Edge. */
 void edge_begin_history(void *ctx, int64_t now_us);
 
--- a/src/heard.c
+++ b/src/heard.c
@@ -43,6 +43,7 @@
 heard_add(Heard *h, const char *vm, uint64_t rev, uint64_t version,
           uint64_t own_rev, int64_t now_us)
 {
+    h->newest_version = MAX(h->newest_version, version);
     if (rev <= own_rev || is_refuted(h, sender_hash(vm), rev)) {
         return;
     }
--- a/src/heard.h
+++ b/src/heard.h
@@ -38,7 +38,8 @@
         uint64_t sender; /* hash of the VM's id */
         uint64_t rev;
     } refuted[HEARD_REFUTED_MAX];
-    uint64_t n_refuted; /* so far */
+    uint64_t n_refuted;      /* so far */
+    uint64_t newest_version; /* highest that a VM has had in force */
 } Heard;
 
 /* A VM has that revision in force.  own_rev: highest revision of the
--- a/src/mirror.h
+++ b/src/mirror.h
@@ -107,6 +107,19 @@
  * "watch", "gossip", "early_gossip" or "resync". */
 const char *mirror_source(const Mirror *m);
 
+/* The last answer of the store itself that confirmed the copy; gossip of other
+ * VMs confirms it, too, but is not counted here. */
+typedef struct MirrorConfirmation {
+    int64_t at_us;      /* all changes before it are known; boot time, 0: there
+                           was none */
+    uint64_t rev;       /* position of the copy */
+    uint64_t history;   /* see mirror_history() */
+    const char *source; /* see mirror_source() */
+} MirrorConfirmation;
+
+/* Returns that of the prefix whose confirmation is the oldest. */
+MirrorConfirmation mirror_confirmation(const Mirror *m);
+
 /* Counts since mirror_new(). */
 typedef struct MirrorCounts {
     int64_t calls;            /* to the store */
--- a/src/mirror_gossip.c
+++ b/src/mirror_gossip.c
@@ -2,6 +2,8 @@
  * VMs. See mirror_state.h. */
 #include "mirror_state.h"
 
+#include <string.h>
+
 void
 mirror_notify_current(Mirror *m, int64_t now_us)
 {
@@ -21,6 +23,14 @@
         return;
     }
     f->confirmed_us = f->partial_us;
+    if (strcmp(m->source, "gossip") != 0) {
+        f->confirmation = (MirrorConfirmation){
+            .at_us = f->confirmed_us,
+            .rev = kvcache_rev(f->cache),
+            .history = m->history.current,
+            .source = m->source,
+        };
+    }
     at_us = f->confirmed_us;
     for (int i = 0; i < m->n_feeds; i++) {
         at_us = MIN(at_us, m->feeds[i].confirmed_us);
@@ -34,6 +44,18 @@
     }
 }
 
+MirrorConfirmation
+mirror_confirmation(const Mirror *m)
+{
+    const MirrorConfirmation *oldest = &m->feeds[0].confirmation;
+
+    for (int i = 1; i < m->n_feeds; i++) {
+        const MirrorConfirmation *c = &m->feeds[i].confirmation;
+        oldest = c->at_us < oldest->at_us ? c : oldest;
+    }
+    return *oldest;
+}
+
 int64_t
 mirror_feed_age_us(const Feed *f)
 {
--- a/src/mirror_state.h
+++ b/src/mirror_state.h
@@ -52,6 +52,7 @@
                                the resync under way will find; boot time */
     int64_t confirmed_us;   /* when the copy was last known to be current; boot
                                time */
+    MirrorConfirmation confirmation;
     int64_t failed_us;      /* time of the last failed call; steady time */
     uint64_t asked_rev;     /* position when the call under way began, or the
                                list that it is part of */
--- a/src/px.c
+++ b/src/px.c
@@ -149,6 +149,21 @@
     dispatch(r, now_us);
 }
 
+/* Also says whether another VM is known to have a newer configuration. */
+static void
+log_no_route(const Px *p, Str id, int64_t now_us)
+{
+    uint64_t newest =
+        p->o.newest_version == NULL ? 0 : p->o.newest_version(p->o.ctx);
+
+    dlog_event(p->o.log, DLOG_INFO, "request",
+               "id=%s event=no_route status=404 config=%" PRIu64
+               " newest_config=%" PRIu64 " copy_age_ms=%" PRId64,
+               dlog_name(id).s, rt_version(p->table),
+               MAX(newest, rt_version(p->table)),
+               p->confirmed_us == 0 ? -1 : (now_us - p->confirmed_us) / 1000);
+}
+
 static void
 on_request(void *ctx, Caller *c, const H1 *req, int64_t now_us)
 {
@@ -175,9 +190,7 @@
         p->counts[PX_UNROUTED]++;
         routeuse_add(&p->route_use, id, now_us);
         if (dlog_admit(p->o.log, true, now_us)) {
-            dlog_event(p->o.log, DLOG_INFO, "request",
-                       "id=%s event=no_route status=404 config=%" PRIu64,
-                       dlog_name(id).s, rt_version(p->table));
+            log_no_route(p, id, now_us);
         }
         caller_respond_text(c, 404, "no_route", 0);
         return;
--- a/src/px.h
+++ b/src/px.h
@@ -38,6 +38,10 @@
     /* Requests wait for a newer copy of the store when it is older; 0: they
      * never do. */
     int64_t copy_age_max_us;
+    /* Newest version of the configuration that any VM is known to have in
+     * force, for the log; may be NULL. */
+    uint64_t (*newest_version)(void *ctx);
+    void *ctx;
 } PxOpts;
 
 Px *px_new(const PxOpts *o);
--- a/tests/mirror_world.h
+++ b/tests/mirror_world.h
@@ -79,6 +79,7 @@
     int64_t call_us[CALLS_MAX]; /* when each call arrived */
     int64_t confirmed_at_call_us[CALLS_MAX]; /* confirmed_us at that time */
     MirrorCounts counts;
+    MirrorConfirmation confirmation;
     EvlTimer drip;     /* while the rest of the cut answer is sent */
     size_t drip_bytes; /* sent at a time; 0: the rest is not sent */
     StubConn *dripping;
@@ -422,6 +423,7 @@
     evl_run(s->loop);
     write_keys(s, s->at_end, sizeof(s->at_end));
     s->counts = mirror_counts(s->mirror);
+    s->confirmation = mirror_confirmation(s->mirror);
     mirror_free(s->mirror);
     ck_assert_uint_le(s->stub.conns->len,
                       s->conns_max == 0 ? CONNS_MAX : s->conns_max);
--- a/tests/test_heard.c
+++ b/tests/test_heard.c
@@ -47,6 +47,17 @@
 }
 END_TEST
 
+/* Guards against a refusal for lack of a route that does not tell that another
+ * VM has a newer version, whatever its revision. */
+START_TEST(newest_version_is_that_of_any_vm)
+{
+    setup();
+    heard_add(&h, "a", 10, 7, 20, 1 * MS);
+    heard_add(&h, "b", 30, 5, 20, 2 * MS);
+    ck_assert_uint_eq(h.newest_version, 7);
+}
+END_TEST
+
 /* Guards against a VM that never asks, as newer revisions restart the delay.
  */
 START_TEST(newer_revisions_do_not_restart_the_delay)
@@ -147,8 +158,8 @@
 }
 END_TEST
 
-T_MAIN("heard", asks_for_a_revision_that_does_not_come,
-       asks_not_if_the_revision_comes,
+T_MAIN("heard", newest_version_is_that_of_any_vm,
+       asks_for_a_revision_that_does_not_come, asks_not_if_the_revision_comes,
        newer_revisions_do_not_restart_the_delay,
        refuted_revision_of_a_sender_is_not_asked_for_again,
        answer_refutes_only_claims_from_before_the_call,
--- a/tests/test_mirror.c
+++ b/tests/test_mirror.c
@@ -293,6 +293,25 @@
 }
 END_TEST
 
+/* Guards against a record that shows a copy as confirmed by the store although
+ * only other VMs have confirmed it since. */
+START_TEST(gossip_is_no_confirmation_by_the_store)
+{
+    Store s;
+    static const Answer script[] = {
+        START_A_B,
+        {"after=9&", 503, "{}"},
+        {NULL, 0, NULL},
+    };
+
+    run_with_gossip(&s, script, 1500000, 9, 0);
+    ck_assert_str_eq(s.confirmation.source, "watch");
+    ck_assert_uint_eq(s.confirmation.rev, 9);
+    ck_assert_int_gt(s.confirmation.at_us, 0);
+    ck_assert_int_lt(s.confirmation.at_us, s.confirmed_us);
+}
+END_TEST
+
 /* Guards against a VM whose calls are put off by gossip that proves nothing
  * about its copy, as that of a VM of whose clock nothing is known. */
 START_TEST(gossip_of_unknown_age_defers_no_calls)
@@ -505,7 +524,8 @@
 }
 END_TEST
 
-T_MAIN("mirror", stale_first_list_is_confirmed_before_use,
+T_MAIN("mirror", gossip_is_no_confirmation_by_the_store,
+       stale_first_list_is_confirmed_before_use,
        a_copy_of_the_list_does_not_confirm_it,
        watch_starts_at_revision_of_oldest_page,
        list_is_repeated_if_history_was_dropped,
