soak_config: drills of the store, and requests that crash targets

Change: the store makes a copy of itself, goes away for 0.2 to 1.5 s (mostly resets) and comes back from the copy; other writers take the lost revisions, the operator stores the newest version again and a newer one. Requests that crash their targets.

--- a/tests/soak_cfgfaults.h
+++ b/tests/soak_cfgfaults.h
@@ -6,7 +6,7 @@
 #ifndef MIMOSA_SOAK_CFGFAULTS_H
 #define MIMOSA_SOAK_CFGFAULTS_H
 
-#include "soak_cfgworld.h"
+#include "soak_cfgdrill.h"
 
 #define LAG_MAX_MS 6000
 
@@ -73,6 +73,44 @@
     }
 }
 
+static void
+on_crash_sent(void *ctx, int status, Str body, int64_t now_us)
+{
+    (void)ctx;
+    (void)status;
+    (void)body;
+    (void)now_us;
+}
+
+/* Sends a request that crashes each target that runs it.  Its answer has no
+ * bound. */
+static bool
+send_crash(ConfigVm *v)
+{
+    World *w = v->w;
+    GString *g;
+    char text[32];
+    struct sockaddr_in at;
+
+    if (v->crash_conn == NULL) {
+        snprintf(text, sizeof(text), "127.0.0.1:%d", vm_port(w, v->no));
+        strm_parse_addr(str_of(text), &at);
+        v->crash_conn = kv_new(w->loop, &at, NULL);
+    }
+    if (v->pid == 0 || kv_busy(v->crash_conn)) {
+        return false;
+    }
+    g = g_string_new(NULL);
+    g_string_printf(g,
+                    "GET /a%d/x/crash HTTP/1.1\r\nHost: desk.example\r\n"
+                    "X-Mimosascale-Attempt-Id: crash-%d-%" G_GUINT64_FORMAT
+                    "\r\nX-Mimosascale-Deadline-Ms: 1500\r\n\r\n",
+                    (int)soak_int(&w->s, 0, PAIRS - 1), v->no,
+                    (guint64)w->s.step++);
+    kv_call(v->crash_conn, g, CALL_TIMEOUT_US, on_crash_sent, v);
+    return true;
+}
+
 /* Injects a fault of that kind; returns false if the VM or the store is under
  * another one that excludes it. */
 static bool
@@ -80,8 +118,14 @@
 {
     ConfigVm *v = &w->vms[soak_int(&w->s, 0, VMS - 1)];
 
+    if (kind == FAULT_DRILL) {
+        return drill_begin(w, now_us);
+    }
+    if (kind == FAULT_CRASH) {
+        return send_crash(v);
+    }
     if (kind >= FAULT_STORE) {
-        if (kind == FAULT_STORE && w->store_ok_us != 0) {
+        if (drill_active(w) || (kind == FAULT_STORE && w->store_ok_us != 0)) {
             return false;
         }
         disturb_store(w, kind, now_us);
@@ -127,6 +171,9 @@
                                         FAULT_HOLD, FAULT_LAG};
     int kind = (int)soak_int(&w->s, 0, FAULT_KINDS - 1);
 
+    if (soak_chance(&w->s, DRILL_SHARE)) {
+        kind = FAULT_DRILL;
+    }
     for (int k = 0; k < FAULT_KINDS; k++) {
         if (soak_fault(&w->s, fault_names[k])) {
             kind = k;
@@ -185,6 +232,7 @@
     for (int i = 0; i < VMS; i++) {
         poll_vm(&w->vms[i], now_us);
     }
+    drill_step(w, now_us);
     if (w->store_ok_us != 0 && now_us >= w->store_ok_us) {
         control(w, "/test/mode?ok", "", 0);
         w->store_ok_us = 0;
@@ -200,7 +248,8 @@
     const World *w = v->w;
 
     return v->pid != 0 && v->resume_us == 0 && v->link_open_us == 0 &&
-           w->store_ok_us == 0 && since_us - v->disturbed_us > TOUCH_US &&
+           w->store_ok_us == 0 && !drill_active(w) &&
+           since_us - v->disturbed_us > TOUCH_US &&
            since_us - w->store_disturbed_us > TOUCH_US;
 }
 
--- a/tests/soak_cfgworld.h
+++ b/tests/soak_cfgworld.h
@@ -26,6 +26,7 @@
 #define VERSIONS_MAX 1000
 #define CHANNELS 2 /* per VM: a kept and a new connection */
 #define CALL_TIMEOUT_US (4 * SEC)
+#define TICK_US (25 * MS)
 #define CHANGE_US (333 * MS) /* between versions */
 #define CHANGES_MIN 10       /* in a row, then a calm time */
 #define CHANGES_MAX 20
@@ -52,12 +53,14 @@
     FAULT_STORE,  /* the store is busy, refuses or is silent */
     FAULT_FORGET, /* the store drops its history, once */
     FAULT_LAG,    /* answers to Serializable lists are seconds old */
+    FAULT_DRILL,  /* the store comes back from an older copy */
+    FAULT_CRASH,  /* a request that crashes its targets */
     FAULT_KINDS
 } Fault;
 
 static const char *const fault_names[] = {
-    "kill",  "stop",   "freeze", "reload", "cut",   "refuse", "hold",
-    "store", "forget", "lag",    "calm",   "start", NULL};
+    "kill",   "stop", "freeze", "reload", "cut",  "refuse", "hold", "store",
+    "forget", "lag",  "drill",  "crash",  "calm", "start",  NULL};
 
 /* What an answer of a process proved of its version, and when. */
 typedef struct Floor {
@@ -78,6 +81,7 @@
     int64_t link_open_us; /* the link is due to open; 0: it is open */
     int64_t disturbed_us; /* last disturbance of its process or link */
     int64_t frozen_us;    /* last SIGCONT */
+    KvConn *crash_conn;   /* of requests that crash targets */
     GArray *floors;       /* Floor, of this boot */
     int probes;
     int checked; /* answers that a bound applied to */
@@ -87,6 +91,16 @@
     int64_t stale_out_us; /* the same out of touch */
 } ConfigVm;
 
+/* A drill of the store, see soak_cfgdrill.h.  Times are 0 if they are not
+ * due. */
+typedef struct Drill {
+    int64_t away_us;  /* the store goes away */
+    int64_t back_us;  /* it is back, from its copy */
+    int64_t write_us; /* the operator stores the newest version again */
+    int64_t rest_until_us;
+    int copy_version; /* newest version in the copy */
+} Drill;
+
 typedef struct World {
     Soak s;
     Evl *loop;
@@ -109,6 +123,8 @@
     int64_t acked_us[VERSIONS_MAX];
     int64_t store_ok_us;        /* the store is due to answer; 0: it does */
     int64_t store_disturbed_us; /* last disturbance of the store */
+    Drill drill;
+    int n_other; /* keys of other writers so far */
     int64_t begin_us;
     int64_t faults_end_us;
     int64_t end_us;
@@ -118,7 +134,8 @@
 
 typedef struct ControlCall {
     GString *request;
-    int version; /* that it stores; 0: none */
+    int version;   /* that it stores; 0: none */
+    bool restores; /* the store's copy: later versions are lost */
 } ControlCall;
 
 static pid_t
@@ -196,7 +213,9 @@
 start_vm(World *w, int i)
 {
     ConfigVm *v = &w->vms[i];
-    char *exe = g_strdup_printf("%s/mimosa-edge", w->bin);
+    char *exe = getenv("VM_PROGRAM") != NULL
+                    ? g_strdup(getenv("VM_PROGRAM"))
+                    : g_strdup_printf("%s/mimosa-edge", w->bin);
     char *ini = g_strdup_printf("%s/vm%d.ini", w->dir, i);
     char *log = g_strdup_printf("%s/vm%d.log", w->dir, i);
     char *argv[] = {exe, (char *)"--config", ini, NULL};
@@ -278,6 +297,10 @@
         w->acked_us[c->version] = now_us;
         w->n_acked = c->version;
     }
+    for (int v = w->drill.copy_version + 1; c->restores && v <= w->n_acked;
+         v++) {
+        w->acked_us[v] = INT64_MAX;
+    }
     g_queue_pop_head(&w->calls);
     g_string_free(c->request, TRUE);
     g_free(c);
@@ -339,16 +362,14 @@
         service_names[service]);
 }
 
-/* Stores the next version: it exchanges a pair of routes, adds a route and
- * removes one. */
+/* Stores version v: it exchanges a pair of routes, adds a route and removes
+ * one. */
 static void
-store_version(World *w)
+put_version(World *w, int v)
 {
     GString *g = g_string_new(NULL);
     char name[16];
-    int v = ++w->n_sent;
 
-    w->numbers[v] = w->numbers[v - 1] + (int)soak_int(&w->s, 1, 4);
     g_string_printf(g, "{\"Version\":%d,\"Services\":[", w->numbers[v]);
     for (int k = 0; k < SERVICES; k++) {
         g_string_append_printf(g,
@@ -374,4 +395,13 @@
     g_string_free(g, TRUE);
 }
 
+static void
+store_next_version(World *w)
+{
+    int v = ++w->n_sent;
+
+    w->numbers[v] = w->numbers[v - 1] + (int)soak_int(&w->s, 1, 4);
+    put_version(w, v);
+}
+
 #endif
--- a/tests/soak_config.c
+++ b/tests/soak_config.c
@@ -5,13 +5,13 @@
  * Starts standin-platform and eight VMs in six zones of three regions, each
  * behind a standin-link with the delay of its region.  Versions come in rows;
  * each exchanges the services of two routes, adds a route and removes one.
- * Probes ask each VM for the routes that recent versions changed, over a kept
- * connection and over new ones.  Invariants, for each VM alone:
- *   config   CONFIG_US after a version is acknowledged, a VM that is in touch
- *            handles no request as only an older version allows
- *   regress  nor does a process BACK_US after it has shown a version, or
- *            BACK_SLOW_US if it was frozen; also out of touch
- *   end      a VM process does not exit unprompted
+ * Among the faults is a drill: the store is away for a moment and comes back
+ * from an older copy.  Probes ask each VM for the routes that recent versions
+ * changed, over a kept connection and over new ones.  Invariants, for each VM
+ * alone: config   CONFIG_US after a version is acknowledged, a VM that is in
+ * touch handles no request as only an older version allows regress  nor does a
+ * process BACK_US after it has shown a version, or BACK_SLOW_US if it was
+ * frozen; also out of touch end      a VM process does not exit unprompted
  *   served   SERVED_MIN_RATIO of the probes of each VM get 200 or 404
  * A response 503, and none at all, violate neither config nor regress.
  *
@@ -20,6 +20,7 @@
  * start; default: all kinds.
  * PORT in the environment: the first of 200 ports to use.  VM_PRELOAD: a
  * library that the VM processes load, such as one that delays datagrams.
+ * VM_PROGRAM: another build of mimosa-edge, to compare it on the same seeds.
  * Exit status: 0 no violation, 1 violation; the logs are then kept.
  */
 #include "soak_cfgfaults.h"
@@ -27,7 +28,6 @@
 #define CONFIG_US (2 * SEC)
 #define BACK_US (250 * MS)
 #define BACK_SLOW_US (8 * BACK_US)
-#define TICK_US (25 * MS)
 #define PROBE_US (100 * MS) /* between the probes of a channel */
 #define PROBE_TIMEOUT_US (2 * SEC)
 #define RECENT_VERSIONS 12 /* whose routes are asked for */
@@ -107,13 +107,18 @@
     ConfigVm *v = c->v;
     World *w = v->w;
     int like = oldest_allowing(c, service, 1, w->n_sent);
+    char acked[48] = "lost by the store";
 
+    if (w->acked_us[bound] != INT64_MAX) {
+        snprintf(acked, sizeof(acked), "acked %.3f s before",
+                 (double)(c->sent_us - w->acked_us[bound]) / 1e6);
+    }
     w->violations++;
     fprintf(stderr,
             "soak_config: %s violated: seed %" G_GUINT64_FORMAT
             " at %.3f s, unix %.3f, vm %d zone %s boot %d up %.3f s, %s, "
-            "route %s got %s, sent %.3f s ago; bound %d (version %d, acked "
-            "%.3f s before), newest %d; oldest that allows it %d (version "
+            "route %s got %s, sent %.3f s ago; bound %d (version %d, %s), "
+            "newest %d; oldest that allows it %d (version "
             "%d); disturbed %.3f s before\n",
             invariant, (guint64)w->s.seed,
             (double)(now_us - w->begin_us) / 1e6,
@@ -122,8 +127,8 @@
             c->fresh ? "new connection" : "kept connection", c->route,
             service < 0 ? "404" : service_names[service],
             (double)(now_us - c->sent_us) / 1e6, bound, w->numbers[bound],
-            (double)(c->sent_us - w->acked_us[bound]) / 1e6, w->n_sent, like,
-            w->numbers[like], (double)(c->sent_us - v->disturbed_us) / 1e6);
+            acked, w->n_sent, like, w->numbers[like],
+            (double)(c->sent_us - v->disturbed_us) / 1e6);
     if (v->violations++ < 3) {
         print_log_end(v);
     }
@@ -263,6 +268,14 @@
     if (w->n_sent + 1 >= VERSIONS_MAX) {
         return;
     }
+    if (drill_holds_changes(w)) {
+        w->changes_left = (int)soak_int(&w->s, CHANGES_MIN, CHANGES_MAX);
+        evl_arm(w->loop, &w->change,
+                w->drill.write_us +
+                    soak_int(&w->s, DRILL_CALM_MIN_MS, DRILL_CALM_MAX_MS) *
+                        MS);
+        return;
+    }
     /* Some faults come at the moment of the change, before or after it. */
     bool strikes = now_us < w->faults_end_us &&
                    now_us > w->begin_us + START_US && soak_chance(&w->s, 0.25);
@@ -270,7 +283,7 @@
     if (strikes && before) {
         inject(w, now_us);
     }
-    store_version(w);
+    store_next_version(w);
     if (strikes && !before) {
         inject(w, now_us);
     }
