Keep connections to other regions ready for requests that come now and then

Cause: a spare connection was opened before the first use only, or where two requests came within 5 s; one to an upstream that had not answered yet was kept for 2 s, since its Keep-Alive time was not known. Result: the new case of test_spare fails before.

--- a/src/ups.h
+++ b/src/ups.h
@@ -93,6 +93,7 @@
     int64_t malformed_us;   /* last line about a malformed response; 0: none */
     int n_malformed;        /* malformed responses since that line */
     int64_t spare_us;       /* last spare connection opened; 0: none */
+    int64_t spares_from_us; /* the first one since the last request */
     int64_t keep_us;   /* time for which an idle connection may be used, by its
                           last response; 0: not known */
     GQueue idle_conns; /* idle connections */
--- a/tests/test_spare.c
+++ b/tests/test_spare.c
@@ -111,6 +111,33 @@
 }
 END_TEST
 
+/* Guards against requests that wait for a new connection to another region
+ * because the one of the last request has expired, against connections that
+ * are opened again while nobody uses them, and in a row when they fail. */
+START_TEST(an_upstream_used_now_and_then_has_a_connection_ready)
+{
+    Fixture f;
+    const int64_t sent_us = NOW + 2 * S;
+
+    setup(&f);
+    f.demand.rate = 0.2; /* 0.48 requests while a connection is idle */
+    f.away->keep_us = 8 * S;
+    ck_assert_int_eq(step(&f, NOW), 1);
+    f.away->sent_us = sent_us;
+    ck_assert_int_eq(step(&f, sent_us + 8 * S), 1);
+    ck_assert_int_eq(step(&f, sent_us + 9 * S), 0);
+    ck_assert_int_eq(step(&f, sent_us + 15 * S), 0);
+    ck_assert_int_eq(step(&f, sent_us + 16 * S), 1);
+    /* Four requests were expected by then. */
+    ck_assert_int_eq(step(&f, sent_us + 80 * S), 0);
+    f.away->sent_us = sent_us + 80 * S;
+    ck_assert_int_eq(step(&f, sent_us + 88 * S), 1);
+    f.demand.rate = 0.1;
+    ck_assert_int_eq(step(&f, sent_us + 100 * S), 0);
+    ups_free(f.set);
+}
+END_TEST
+
 /* Guards against connections where they are of no use or not allowed. */
 START_TEST(no_connection_is_opened_needlessly)
 {
@@ -143,4 +170,5 @@
 
 T_MAIN("spare", a_region_that_gets_requests_gets_one_connection,
        an_upstream_in_use_has_a_spare_connection,
+       an_upstream_used_now_and_then_has_a_connection_ready,
        no_connection_is_opened_needlessly)
