Let handshakes under way end before a stopping VM closes its listener

Cause: the filter of strm_listen_end() dropped every segment, also the last one of a handshake: the caller had a connection that the VM did not know, and the close of the listener, right after it, reset it. Change: the filter drops SYN without ACK only, and the listener stays for two round trips between regions (220 ms), accepting what arrives.

--- a/src/caller.h
+++ b/src/caller.h
@@ -97,8 +97,9 @@
 /* Adds "Connection: close" to all subsequent responses, except where the next
  * request has arrived already. */
 void callers_shutdown(CallerSet *s);
-/* Closes the connections without a request, accepts those that wait, and stops
- * listening when none is left.  To be called until callers_closed(), since a
+/* Closes the connections without a request, accepts those that wait, lets no
+ * further ones begin, and stops listening two round trips later, when none is
+ * left.  To be called until callers_closed(), since a
  * new connection has some time for its first request, and some may wait for
  * room. */
 void callers_close_idle(CallerSet *s);
--- a/src/caller_state.h
+++ b/src/caller_state.h
@@ -54,7 +54,8 @@
     CallerOpts o;
     EvlFd listener;
     bool listening;
-    bool accepting; /* false: connections wait in the kernel's queue */
+    int64_t listen_end_us; /* the listener closes; 0: no stop has begun */
+    bool accepting;        /* false: connections wait in the kernel's queue */
     EvlTimer timeout_check;
     GQueue open;
     int busy;
--- a/src/callers.c
+++ b/src/callers.c
@@ -17,6 +17,9 @@
 /* Time for which a new connection may wait for its first request when idle
  * connections are closed.  The request is likely on its way. */
 #define FIRST_REQUEST_US 250000
+/* Time until the handshakes are complete that are under way when no further
+ * ones may begin: twice the longest round trip, 110 ms. */
+#define HANDSHAKE_US 220000
 
 static const char *const end_names[CALLER_ENDS] = {"peer", "response",
                                                    "timeout", "idle", "abort"};
@@ -321,12 +324,16 @@
 void
 callers_close_idle(CallerSet *s)
 {
+    int64_t now_us = evl_now(s->o.loop);
+
     for_each_open(s, close_idle);
-    if (s->listening) {
+    if (s->listening && s->listen_end_us == 0) {
         strm_listen_end(s->listener.fd);
-        if (accept_waiting(s, ACCEPT_QUEUE_MAX)) {
-            stop_listening(s);
-        }
+        s->listen_end_us = now_us + HANDSHAKE_US;
+    }
+    if (s->listening && accept_waiting(s, ACCEPT_QUEUE_MAX) &&
+        now_us >= s->listen_end_us) {
+        stop_listening(s);
     }
     for_each_open(s, close_idle);
 }
--- a/src/strm.c
+++ b/src/strm.c
@@ -6,6 +6,7 @@
 #include <linux/filter.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <stddef.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -395,8 +396,17 @@
 void
 strm_listen_end(int fd)
 {
-    struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
-    struct sock_fprog filter = {.len = 1, .filter = &drop};
+    /* Drops segments with SYN and without ACK.  The last segment of a
+     * handshake that is under way has to arrive: its sender takes the
+     * connection for established. */
+    struct sock_filter code[] = {
+        BPF_STMT(BPF_LD | BPF_B | BPF_ABS, offsetof(struct tcphdr, th_flags)),
+        BPF_STMT(BPF_ALU | BPF_AND | BPF_K, TH_SYN | TH_ACK),
+        BPF_JUMP(BPF_JMP | BPF_JEQ | BPF_K, TH_SYN, 0, 1),
+        BPF_STMT(BPF_RET | BPF_K, 0),
+        BPF_STMT(BPF_RET | BPF_K, UINT32_MAX),
+    };
+    struct sock_fprog filter = {.len = G_N_ELEMENTS(code), .filter = code};
 
     /* Without the filter, which some systems refuse, a connection may be reset
      * by the close. */
--- a/src/strm.h
+++ b/src/strm.h
@@ -91,9 +91,10 @@
 
 /* Returns a listening socket, or -1 with ERR_IO. */
 int strm_listen(const struct sockaddr_in *at, Err *e);
-/* Lets no further connection be established on a listening socket that is
- * about to be closed; those that wait can be accepted.  Peers that connect now
- * try again after a second and are refused then. */
+/* Lets no further handshake begin on a listening socket that is about to be
+ * closed; those under way end within a round trip, and connections that wait
+ * can be accepted.  Peers that connect now try again after a second and are
+ * refused then. */
 void strm_listen_end(int fd);
 
 /* Parses "IP:PORT" (IPv4). */
--- a/tests/test_caller_stop.c
+++ b/tests/test_caller_stop.c
@@ -2,11 +2,13 @@
  * connections. */
 #include "caller_world.h"
 
+#include <linux/filter.h>
 #include <poll.h>
 
 #include "strm.h"
 
 #define READ_US 1000000
+#define ROUND_TRIP_US 110000 /* between regions */
 
 static void
 check_answered(World *w)
@@ -84,6 +86,62 @@
 }
 END_TEST
 
+/* Guards against a caller whose connection is reset by the close of the
+ * listener, as the last packet of its handshake was dropped. */
+START_TEST(a_handshake_under_way_ends_before_the_listener_closes)
+{
+    struct sock_filter drop = BPF_STMT(BPF_RET | BPF_K, 0);
+    struct sock_fprog filter = {.len = 1, .filter = &drop};
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t n = sizeof(at);
+    int none = 0;
+    Err e = {0};
+    int fd = strm_listen(&at, &e);
+    int caller = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+
+    ck_assert_int_ge(fd, 0);
+    ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&at, &n), 0);
+    /* The listener's answer is lost, and sent again after a second. */
+    ck_assert_int_eq(setsockopt(caller, SOL_SOCKET, SO_ATTACH_FILTER, &filter,
+                                sizeof(filter)),
+                     0);
+    ck_assert_int_eq(connect(caller, (struct sockaddr *)&at, n), -1);
+    ck_assert_int_eq(
+        setsockopt(caller, SOL_SOCKET, SO_DETACH_FILTER, &none, sizeof(none)),
+        0);
+    strm_listen_end(fd);
+    struct pollfd p = {.fd = caller, .events = POLLOUT};
+    ck_assert_int_eq(poll(&p, 1, 3000), 1);
+    struct pollfd waiting = {.fd = fd, .events = POLLIN};
+    ck_assert_int_eq(poll(&waiting, 1, 500), 1);
+    int accepted = accept(fd, NULL, NULL);
+    ck_assert_int_ge(accepted, 0);
+    close(accepted);
+    close(caller);
+    close(fd);
+}
+END_TEST
+
+/* Guards against a listener that closes within the round trip of a handshake,
+ * and against one that stays open. */
+START_TEST(a_listener_closes_a_round_trip_after_the_last_connection_request)
+{
+    World w;
+
+    world_init(&w, 10);
+    callers_close_idle(w.set);
+    ck_assert(!callers_closed(w.set));
+    run_for(&w, ROUND_TRIP_US);
+    callers_close_idle(w.set);
+    ck_assert(!callers_closed(w.set));
+    run_for(&w, 2 * ROUND_TRIP_US);
+    callers_close_idle(w.set);
+    ck_assert(callers_closed(w.set));
+    world_clear(&w);
+}
+END_TEST
+
 START_TEST(a_request_sent_behind_another_is_answered_at_a_stop)
 {
     World w;
@@ -105,4 +163,6 @@
        a_request_on_a_connection_not_accepted_yet_is_answered_at_a_stop,
        a_request_in_two_pieces_is_answered_at_a_stop,
        no_connection_is_established_before_the_listener_closes,
+       a_handshake_under_way_ends_before_the_listener_closes,
+       a_listener_closes_a_round_trip_after_the_last_connection_request,
        a_request_sent_behind_another_is_answered_at_a_stop)
