Keep a stopping listener for one round trip only

Callers saw: one that connects while no further handshake may begin waits a second for its second try; made that time 220 ms. Change: 120 ms, the longest round trip, after which every handshake that was under way is complete.

--- a/src/caller.h
+++ b/src/caller.h
@@ -98,7 +98,7 @@
  * request has arrived already. */
 void callers_shutdown(CallerSet *s);
 /* Closes the connections without a request, accepts those that wait, lets no
- * further ones begin, and stops listening two round trips later, when none is
+ * further ones begin, and stops listening a round trip later, when none is
  * left.  To be called until callers_closed(), since a
  * new connection has some time for its first request, and some may wait for
  * room. */
--- a/src/callers.c
+++ b/src/callers.c
@@ -18,8 +18,9 @@
  * connections are closed.  The request is likely on its way. */
 #define FIRST_REQUEST_US 250000
 /* Time until the handshakes are complete that are under way when no further
- * ones may begin: twice the longest round trip, 110 ms. */
-#define HANDSHAKE_US 220000
+ * ones may begin: the longest round trip.  Callers that connect meanwhile try
+ * again after a second, so it is no longer than that. */
+#define HANDSHAKE_US 120000
 
 static const char *const end_names[CALLER_ENDS] = {"peer", "response",
                                                    "timeout", "idle", "abort"};
