soak_edge: attribute a late connection to the process that accepted it

Change: a request on a new connection is judged by the process that was started after the call began and before its first byte was sent, if there is one. All checks apply to that process; SIGKILL and pauses of it excuse as before.

--- a/tests/soak_calls.h
+++ b/tests/soak_calls.h
@@ -39,10 +39,20 @@
 }
 
 /* Returns the process that the request was sent to, also after its end; NULL
- * if it is not known. */
+ * if it is not known.  A connection that was begun while a process stopped may
+ * be established a second later, with the next one. */
 static const Proc *
-called_process(const World *w, const SoakCaller *c)
+called_process(const World *w, const SoakCaller *c, const ClientResult *r)
 {
+    const Proc *both[] = {&w->vms[c->vm], &w->ended[c->vm]};
+
+    for (size_t i = 0; !r->reused && i < G_N_ELEMENTS(both); i++) {
+        if (both[i]->pid != 0 && both[i]->pid != c->pid &&
+            both[i]->spawned_us > c->at_us &&
+            both[i]->spawned_us <= r->first_us) {
+            return both[i];
+        }
+    }
     if (c->pid != 0 && w->vms[c->vm].pid == c->pid) {
         return &w->vms[c->vm];
     }
@@ -85,7 +95,7 @@
 check_unanswered(World *w, const SoakCaller *c, const ClientResult *r,
                  int64_t now_us)
 {
-    const Proc *p = called_process(w, c);
+    const Proc *p = called_process(w, c, r);
 
     if (r->end == CLIENT_GARBLED) {
         report_violation(w, "whole", c, "bytes that are no response");
--- a/tests/soak_world.h
+++ b/tests/soak_world.h
@@ -48,6 +48,7 @@
 typedef struct Proc {
     pid_t pid;            /* 0: not running */
     int64_t start_us;     /* time of the next start; 0: running */
+    int64_t spawned_us;   /* time of the last start */
     bool has_responded;   /* the process has responded to a request */
     int64_t term_us;      /* time of SIGTERM; 0: none */
     int64_t disturbed_us; /* time of the last SIGKILL, SIGSTOP or SIGCONT */
@@ -228,6 +229,7 @@
     char *argv[] = {exe, (char *)"--config", ini, NULL};
 
     spawn(&w->vms[i], log, argv);
+    w->vms[i].spawned_us = evl_now(w->loop);
     g_free(exe);
     g_free(ini);
     g_free(log);
