Count requests of any region in the connections that are kept ready

Cause: what a VM expects for an upstream was computed from the shares of the regions. Change: their rate is counted apart, and spread over the upstreams of all regions. Result: the new case of test_spare fails before.

--- a/src/demand.c
+++ b/src/demand.c
@@ -83,6 +83,12 @@
                retry_burst(d, n_vms));
 }
 
+void
+demand_arrived_near(DemandService *s)
+{
+    s->near++;
+}
+
 void
 demand_admitted(const Demand *d, DemandService *s)
 {
@@ -227,9 +233,12 @@
         if (d->step_us > 0 && dt > 0) {
             double now_rate = s->arrived / (dt / 1e6);
             double w = 1 - exp(-dt / RATE_AVG_US);
+            double near_rate = s->near / (dt / 1e6);
             s->rate += w * (now_rate - s->rate);
+            s->near_rate += w * (near_rate - s->near_rate);
         }
         s->arrived = 0;
+        s->near = 0;
         step_service(d, s, set, vms_by_region, now_us);
     }
     d->step_us = now_us;
--- a/src/demand.h
+++ b/src/demand.h
@@ -23,10 +23,13 @@
     Split split;
     Bucket retries;
     Bucket overflows;
-    bool used;     /* this VM has received a request for it */
-    int arrived;   /* requests since the last step */
-    double rate;   /* requests per second, moving average */
-    double work_s; /* service time in an upstream, moving average */
+    bool used;   /* this VM has received a request for it */
+    int arrived; /* requests since the last step */
+    int near;    /* those of them that run in any region, see pick_is_near()
+                  */
+    double rate; /* requests per second, moving average */
+    double near_rate; /* the same of those */
+    double work_s;    /* service time in an upstream, moving average */
 } DemandService;
 
 typedef struct Demand Demand;
@@ -52,6 +55,9 @@
  * budget; 0: not known, which gives the smallest part. */
 void demand_arrived(Demand *d, DemandService *s, int n_vms);
 
+/* One of the requests that were counted runs in any region. */
+void demand_arrived_near(DemandService *s);
+
 /* Counts a request that is sent to an upstream, which adds to the share that
  * may overflow.  Refused requests add nothing: they run in no region. */
 void demand_admitted(const Demand *d, DemandService *s);
--- a/src/pick.c
+++ b/src/pick.c
@@ -106,6 +106,13 @@
     return in->service->cold_per_s * COLD_FRACTION / n;
 }
 
+bool
+pick_is_near(const RtRoute *route, int64_t max_rtt_us)
+{
+    return (double)max_rtt_us <
+           (double)route->latency_target_us * NEAR_RTT_FRACTION;
+}
+
 int
 pick_max_conns(const RtService *s, int n_vms)
 {
@@ -381,7 +388,7 @@
     int at = 0;
     bool remote = false;
 
-    if (in->max_rtt_us < in->route->latency_target_us * NEAR_RTT_FRACTION) {
+    if (pick_is_near(in->route, in->max_rtt_us)) {
         region = -1;
     }
     else if (in->split != NULL && in->split->n > 0) {
--- a/src/pick.h
+++ b/src/pick.h
@@ -82,6 +82,10 @@
  */
 Ups *pick_upstream(const PickIn *in, int64_t now_us, PickReason *why);
 
+/* Returns true if callers of all regions use the same upstream for an object
+ * of that route, wherever it is. */
+bool pick_is_near(const RtRoute *route, int64_t max_rtt_us);
+
 /* Returns the time until the first upstream that the request may use, and that
  * asked this VM to wait, accepts requests again; 0 if none asked. */
 int64_t pick_wait_us(const PickIn *in, int64_t now_us);
--- a/src/pxreq.c
+++ b/src/pxreq.c
@@ -97,6 +97,9 @@
     if (!r->counted) {
         r->counted = true;
         demand_arrived(p->o.demand, r->demand, p->n_vms);
+        if (pick_is_near(route, p->max_rtt_us)) {
+            demand_arrived_near(r->demand);
+        }
     }
 }
 
--- a/src/spare.c
+++ b/src/spare.c
@@ -20,16 +20,22 @@
 #define OPEN_INTERVAL_US 500000
 
 /* Returns the requests per second that this VM expects for each upstream of a
- * region.  n: usable upstreams there. */
+ * region.  usable: upstreams of each region. */
 static double
-expected_rate(const SpareIn *in, int region, int n)
+expected_rate(const SpareIn *in, int region, const int *usable)
 {
-    const Split *split = &in->demand->split;
+    const DemandService *d = in->demand;
+    int all = 0;
 
-    if (n == 0 || region >= split->n) {
+    for (int r = 0; r < d->split.n; r++) {
+        all += usable[r];
+    }
+    if (region >= d->split.n || usable[region] == 0) {
         return 0;
     }
-    return in->demand->rate * split->share[in->region][region] / n;
+    return (d->rate - d->near_rate) * d->split.share[in->region][region] /
+               usable[region] +
+           d->near_rate / all;
 }
 
 /* Time for which an idle connection to the upstream is of use. */
@@ -109,7 +115,7 @@
         Ups *u = g_ptr_array_index(list, i);
         /* Until its first response it is taken to be like the others. */
         u->keep_us = u->keep_us == 0 ? keep_us : u->keep_us;
-        double rate = expected_rate(in, u->region, usable[u->region]);
+        double rate = expected_rate(in, u->region, usable);
         if (is_wanted(in, u, rate, now_us)) {
             if (u->spare_us == 0 || u->sent_us > u->spare_us) {
                 u->spares_from_us = now_us;
--- a/tests/test_spare.c
+++ b/tests/test_spare.c
@@ -138,6 +138,24 @@
 }
 END_TEST
 
+/* Guards against requests that run in any region, whatever its share, and wait
+ * for a new connection there. */
+START_TEST(requests_of_any_region_are_expected_in_each)
+{
+    Fixture f;
+
+    setup(&f);
+    f.demand.split.share[0][0] = 1;
+    f.demand.split.share[0][1] = 0;
+    f.demand.rate = 10;
+    ck_assert_int_eq(step(&f, NOW), 0);
+    f.demand.near_rate = 1; /* half of them are expected at each upstream */
+    ck_assert_int_eq(step(&f, NOW), 1);
+    ck_assert_ptr_eq(f.last, f.away);
+    ups_free(f.set);
+}
+END_TEST
+
 /* Guards against connections where they are of no use or not allowed. */
 START_TEST(no_connection_is_opened_needlessly)
 {
@@ -171,4 +189,5 @@
 T_MAIN("spare", a_region_that_gets_requests_gets_one_connection,
        an_upstream_in_use_has_a_spare_connection,
        an_upstream_used_now_and_then_has_a_connection_ready,
+       requests_of_any_region_are_expected_in_each,
        no_connection_is_opened_needlessly)
