soak_config: a VM stays in touch while the store only makes its copy

Cause: the check excused all VMs from the moment of the copy, up to 3 s before the store went away, although nothing disturbs them then. Change: they are excused while the store is away, and as before after it.

--- a/tests/soak_cfgfaults.h
+++ b/tests/soak_cfgfaults.h
@@ -248,7 +248,7 @@
     const World *w = v->w;
 
     return v->pid != 0 && v->resume_us == 0 && v->link_open_us == 0 &&
-           w->store_ok_us == 0 && !drill_active(w) &&
+           w->store_ok_us == 0 && w->drill.back_us == 0 &&
            since_us - v->disturbed_us > TOUCH_US &&
            since_us - w->store_disturbed_us > TOUCH_US;
 }
